--- /dev/null
+++ b/include/agateseam/version.hpp
@@ -0,0 +1,7 @@
+/// The version of the library and the few macros that its headers need.
+#pragma once
+
+#define AGATESEAM_VERSION_MAJOR 0
+#define AGATESEAM_VERSION_MINOR 1
+#define AGATESEAM_VERSION_PATCH 0
+#define AGATESEAM_VERSION "0.1.0"
--- /dev/null
+++ b/src/daemon/entry.cpp
@@ -0,0 +1,1 @@
+#include <net/http_client.hpp>
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
