--- /dev/null
+++ b/scripts/lib/fleet.py
@@ -0,0 +1,274 @@
+"""Starts the system and its stand-ins on loopback, for the demo, the tests and the benches.
+
+Every process that a fleet starts is ended by its id, and only those.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+FLEET_SECRET = "fleet-secret-for-loopback"
+OPERATOR_TOKEN = "operator-token-for-loopback"
+START_LIMIT_S = 20
+
+DOMAINS = ("khomas-a", "khomas-b", "khomas-c", "khomas-d")
+
+
+def http(method, url, body=None, headers=None, timeout=10):
+    """Returns (status, headers, body) of one call; a refusal is no exception."""
+    data = body.encode() if isinstance(body, str) else body
+    request = urllib.request.Request(url, data=data, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, dict(answer.headers), answer.read()
+    except urllib.error.HTTPError as refusal:
+        return refusal.code, dict(refusal.headers), refusal.read()
+
+
+def wait_for(condition, what, limit_s=START_LIMIT_S):
+    """Waits until the condition holds; raises after the limit."""
+    until = time.monotonic() + limit_s
+    while time.monotonic() < until:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise TimeoutError(f"waited {limit_s} s for {what}")
+
+
+class Process:
+    """One started program with its log."""
+
+    def __init__(self, name, command, directory):
+        self.name = name
+        self.command = command
+        self.log_path = os.path.join(directory, name + ".log")
+        self.log = open(self.log_path, "ab")
+        self.child = subprocess.Popen(command, stdout=self.log, stderr=self.log)
+        self.port = None
+
+    def lines(self):
+        with open(self.log_path, "rb") as log:
+            return log.read().decode(errors="replace").splitlines()
+
+    def read_port(self):
+        for line in self.lines():
+            if line.strip().isdigit():
+                return int(line)
+            if '"event":"started"' in line:
+                return json.loads(line)["port"]
+        if self.child.poll() is not None:
+            raise RuntimeError(f"{self.name} ended: {self.lines()[-3:]}")
+        return None
+
+    def await_port(self):
+        wait_for(lambda: self.read_port() is not None, f"{self.name} to listen")
+        self.port = self.read_port()
+        return self.port
+
+    def send(self, number):
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def stop(self, limit_s=10):
+        """Asks the process to end, then ends it; returns its exit code."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            return self.child.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            return self.child.wait()
+
+
+class Fleet:
+    """The whole system at the size of a few dozen processes."""
+
+    def __init__(self, build, directory, entries=2, prefill=3, decode=5, services=4,
+                 domains=DOMAINS, engine_options=(), service_options=(),
+                 platform_options=(), limits=None, listen=None):
+        self.build = os.path.abspath(build)
+        self.directory = os.path.abspath(directory)
+        os.makedirs(self.directory, exist_ok=True)
+        for name in os.listdir(self.directory):
+            if name.endswith((".log", ".json")):
+                os.unlink(os.path.join(self.directory, name))
+        self.domains = domains
+        self.counts = {"prefill": prefill, "decode": decode, "service": services}
+        self.entry_count = entries
+        self.engine_options = list(engine_options)
+        self.service_options = list(service_options)
+        self.platform_options = list(platform_options)
+        self.limits = limits or {}
+        self.listen = listen or {}
+        self.processes = {}
+        self.agents = []
+        self.entries = []
+        self.backends = {}
+        self.keys = {}
+
+    def program(self, name):
+        return os.path.join(self.build, name)
+
+    def launch(self, name, command):
+        process = Process(name, command, self.directory)
+        self.processes[name] = process
+        return process
+
+    def settings(self, name, content):
+        path = os.path.join(self.directory, name + ".settings.json")
+        with open(path, "w") as file:
+            json.dump(content, file, indent=2)
+        return path
+
+    def common(self, name, domain, role, port=0):
+        content = {"role": role, "vm": name, "failure_domain": domain,
+                   "listen": {"address": "127.0.0.1", "port": port, **self.listen},
+                   "platform_url": f"http://127.0.0.1:{self.processes['platform'].port}",
+                   "fleet_secret": FLEET_SECRET}
+        if self.limits:
+            content["limits"] = self.limits
+        return content
+
+    def launch_daemon(self, name, content):
+        path = self.settings(name, content)
+        return self.launch(name, [self.program("agateseamd"), "--settings", path])
+
+    def launch_agent(self, name, kind, domain, port=0):
+        pool = "booking" if kind == "service" else "drafting"
+        content = self.common(name, domain, "agent", port)
+        content["backend"] = {"kind": kind, "pool": pool, "slots": 20,
+                              "url": f"http://127.0.0.1:{self.backends[name].port}"}
+        return self.launch_daemon(name, content)
+
+    def launch_entry(self, name, domain, port=0):
+        content = self.common(name, domain, "entry", port)
+        content["operator_token"] = OPERATOR_TOKEN
+        return self.launch_daemon(name, content)
+
+    def start(self):
+        self.launch("platform", [self.program("platform_fake"),
+                                 *self.platform_options]).await_port()
+        self.start_backends()
+        self.start_agents()
+        self.publish_vms()
+        for index in range(self.entry_count):
+            name = f"entry-{index + 1}"
+            self.entries.append(name)
+            self.launch_entry(name, self.domains[index % len(self.domains)])
+        for name in self.entries:
+            self.processes[name].await_port()
+        self.publish_vms()
+        return self
+
+    def agent_plan(self):
+        index = 0
+        for kind, count in self.counts.items():
+            for number in range(count):
+                yield f"{kind}-{number + 1}", kind, self.domains[index % len(self.domains)]
+                index += 1
+
+    def start_backends(self):
+        for name, kind, _ in self.agent_plan():
+            program = "service_fake" if kind == "service" else "engine_fake"
+            options = self.service_options if kind == "service" else self.engine_options
+            self.backends[name] = self.launch("backend-" + name,
+                                              [self.program(program), *options])
+        for backend in self.backends.values():
+            backend.await_port()
+
+    def start_agents(self):
+        for name, kind, domain in self.agent_plan():
+            self.agents.append((name, kind, domain))
+            self.launch_agent(name, kind, domain)
+        for name, _, _ in self.agents:
+            self.processes[name].await_port()
+
+    def publish_vms(self, leaving=(), gone=()):
+        vms = [{"name": name, "address": f"127.0.0.1:{self.processes[name].port}",
+                "role": "agent", "failure_domain": domain, "leaving": name in leaving}
+               for name, _, domain in self.agents if name not in gone]
+        vms += [{"name": name, "address": f"127.0.0.1:{self.processes[name].port}",
+                 "role": "entry", "leaving": name in leaving,
+                 "failure_domain": self.domains[index % len(self.domains)]}
+                for index, name in enumerate(self.entries)
+                if name not in gone and self.processes[name].port]
+        http("PUT", self.platform_url() + "/admin/vms", json.dumps(vms))
+
+    def platform_url(self):
+        return f"http://127.0.0.1:{self.processes['platform'].port}"
+
+    def entry_urls(self):
+        return [f"http://127.0.0.1:{self.processes[name].port}" for name in self.entries]
+
+    def agent_url(self, name):
+        return f"http://127.0.0.1:{self.processes[name].port}"
+
+    def agent_load(self, name):
+        status, _, body = http("GET", self.agent_url(name) + "/agent/load",
+                               headers={"x-agateseam-fleet": FLEET_SECRET})
+        return json.loads(body) if status == 200 else None
+
+    def slots_held(self):
+        return sum(self.agent_load(name)["used"] for name, _, _ in self.agents)
+
+    def cli(self, *words, entry=0, check=True):
+        """Runs the command-line tool; returns (exit code, output)."""
+        command = [self.program("agateseam"), "--entry", self.entry_urls()[entry],
+                   "--token", OPERATOR_TOKEN, *words]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+        if check and done.returncode != 0:
+            raise RuntimeError(f"{words}: exit {done.returncode}: {done.stderr}")
+        return done.returncode, done.stdout
+
+    def configure(self, workspaces, rate=1e6, burst=1e6):
+        """Makes the pools, the routes, the workspaces and a key for each."""
+        patch = {"pools": {"drafting": {"model": "drafter"}, "booking": {}},
+                 "routes": {"booking": {"prefix": "/booking/", "pool": "booking",
+                                        "repeatable": False},
+                            "orders": {"prefix": "/orders/", "pool": "booking",
+                                       "repeatable": True}},
+                 "prices": {"drafting": {"prompt": 0.5, "cached": 0.05, "output": 2.0}}}
+        path = os.path.join(self.directory, "first.patch.json")
+        with open(path, "w") as file:
+            json.dump(patch, file)
+        self.cli("config", "patch", path)
+        for name in workspaces:
+            self.cli("workspace", "set", name, "--rate", str(rate), "--burst", str(burst))
+            self.keys[name] = self.cli("key", "create", name)[1].strip()
+        self.await_ready()
+
+    def await_ready(self):
+        headers = {"Authorization": "Bearer " + list(self.keys.values())[-1]}
+
+        def serves(url):
+            return http("GET", url + "/v1/models", headers=headers)[0] == 200
+
+        def works(url):
+            body = json.dumps({"model": "drafter", "prompt": "ready?", "max_tokens": 1})
+            return http("POST", url + "/v1/completions", body, headers)[0] == 200
+
+        for url in self.entry_urls():
+            wait_for(lambda: serves(url) and works(url), f"{url} to serve")
+
+    def stop(self):
+        """Ends every process of the fleet; returns their exit codes by name."""
+        order = [*self.entries, *[name for name, _, _ in self.agents]]
+        order += [name for name in self.processes if name not in order]
+        for name in order:
+            self.processes[name].send(signal.SIGCONT)
+            self.processes[name].send(signal.SIGTERM)
+        return {name: self.processes[name].stop() for name in order}
+
+    def __enter__(self):
+        try:
+            return self.start()
+        except BaseException:
+            self.stop()
+            raise
+
+    def __exit__(self, *_):
+        self.stop()
--- /dev/null
+++ b/src/cli/operator_client.cpp
@@ -0,0 +1,92 @@
+#include "operator_client.hpp"
+
+#include <random>
+
+namespace agateseam
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::chrono::milliseconds call_limit{10'000};
+constexpr int status_ok = 200;
+constexpr int status_conflict = 409;
+
+std::string new_patch_id()
+{
+    std::random_device source;
+    return std::to_string(source()) + "-" + std::to_string(source());
+}
+
+error refusal(const http_reply& reply, const std::string& peer)
+{
+    const json body = json::parse(reply.body, nullptr, false);
+    const json fault =
+        body.is_object() ? body.value("error", json::object()) : json::object();
+    const error_code code =
+        reply.status == status_conflict ? error_code::conflict : error_code::invalid;
+    return {code, fault.value("step", "call"), peer,
+            fault.value("message", "status " + std::to_string(reply.status))};
+}
+
+} // namespace
+
+result<operator_client> operator_client::create(std::string url, std::string token)
+{
+    operator_client made;
+    made.url = std::move(url);
+    made.token = std::move(token);
+    auto client = http_client::create({});
+    if (!client)
+    {
+        return tl::unexpected<error>(client.error());
+    }
+    made.client = std::move(*client);
+    return made;
+}
+
+result<numbered_document> operator_client::call(http_call request) const
+{
+    request.step = "operator";
+    request.total_timeout = call_limit;
+    request.headers.emplace_back("Authorization", "Bearer " + this->token);
+    const auto reply = this->client->fetch(std::move(request));
+    if (!reply)
+    {
+        return tl::unexpected<error>(reply.error());
+    }
+    if (reply->status != status_ok)
+    {
+        return tl::unexpected<error>(refusal(*reply, this->url));
+    }
+    json body = json::parse(reply->body, nullptr, false);
+    if (!body.is_object())
+    {
+        return fail(error_code::broken, "operator", this->url, "the answer is not JSON");
+    }
+    return numbered_document{body.value("number", std::uint64_t{0}),
+                             body.value("document", json::object())};
+}
+
+result<numbered_document> operator_client::config() const
+{
+    http_call request;
+    request.url = this->url + "/operator/config";
+    return this->call(std::move(request));
+}
+
+result<numbered_document> operator_client::patch(std::uint64_t against,
+                                                 const json& merge_patch) const
+{
+    http_call request;
+    request.method = "PATCH";
+    request.url = this->url + "/operator/config?against=" + std::to_string(against);
+    request.headers = {{"x-patch-id", new_patch_id()},
+                       {"Content-Type", "application/json"}};
+    request.body = merge_patch.dump();
+    return this->call(std::move(request));
+}
+
+} // namespace agateseam
--- /dev/null
+++ b/src/core/static_admission.cpp
@@ -0,0 +1,96 @@
+#include <agateseam/static_admission.hpp>
+
+#include <algorithm>
+
+namespace agateseam
+{
+
+result<std::unique_ptr<static_admission>>
+static_admission::create(const clock_source& time, unsigned entries)
+{
+    if (entries == 0)
+    {
+        return fail(error_code::invalid, "admission", "", "at least one entry is needed");
+    }
+    return std::unique_ptr<static_admission>(new static_admission(time, entries));
+}
+
+void static_admission::configure(const configuration& current)
+{
+    const std::scoped_lock hold(this->mutex);
+    for (const auto& [name, workspace] : current.workspaces)
+    {
+        auto [at, added] = this->buckets.try_emplace(name);
+        bucket& target = at->second;
+        target.rate = workspace.rate / this->entries;
+        target.burst = workspace.burst / this->entries;
+        if (added)
+        {
+            target.level = target.burst;
+            target.filled = this->time->now();
+        }
+    }
+    std::erase_if(this->buckets, [&](const auto& item)
+                  { return !current.workspaces.contains(item.first); });
+}
+
+void static_admission::refill(bucket& target) const
+{
+    const time_point now = this->time->now();
+    const std::chrono::duration<double> passed = now - target.filled;
+    target.filled = now;
+    const double room = std::max(0.0, target.burst - target.outstanding);
+    target.level = std::min(room, target.level + passed.count() * target.rate);
+}
+
+admission_decision static_admission::reserve(std::string_view workspace, double tokens)
+{
+    const std::scoped_lock hold(this->mutex);
+    const auto found = this->buckets.find(workspace);
+    if (found == this->buckets.end())
+    {
+        return {};
+    }
+    bucket& target = found->second;
+    this->refill(target);
+    admission_decision decision;
+    decision.limit = target.burst;
+    decision.admitted = target.level >= tokens;
+    if (decision.admitted)
+    {
+        target.level -= tokens;
+        target.outstanding += tokens;
+    }
+    else if (target.rate > 0)
+    {
+        decision.retry_after = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>((tokens - target.level) / target.rate));
+    }
+    decision.remaining = target.level;
+    return decision;
+}
+
+void static_admission::deliver(std::string_view workspace, double tokens)
+{
+    const std::scoped_lock hold(this->mutex);
+    const auto found = this->buckets.find(workspace);
+    if (found != this->buckets.end())
+    {
+        this->refill(found->second);
+        found->second.outstanding -= tokens;
+    }
+}
+
+void static_admission::release(std::string_view workspace, double tokens)
+{
+    const std::scoped_lock hold(this->mutex);
+    const auto found = this->buckets.find(workspace);
+    if (found != this->buckets.end())
+    {
+        this->refill(found->second);
+        found->second.outstanding -= tokens;
+        found->second.level += tokens;
+    }
+}
+
+} // namespace agateseam
--- /dev/null
+++ b/src/daemon/agent.cpp
@@ -0,0 +1,176 @@
+#include <daemon/daemon.hpp>
+
+#include <condition_variable>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include <agateseam/api_key.hpp>
+#include <daemon/agent_context.hpp>
+#include <daemon/api_error.hpp>
+
+namespace agateseam
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds heartbeat_interval{500};
+constexpr std::chrono::seconds outcome_retention{120};
+
+/// Serves the orders of entries and of other agents.
+class agent final : public daemon_process, public http_handler
+{
+  public:
+    explicit agent(std::unique_ptr<agent_context> shared)
+        : context(std::move(shared))
+    {
+    }
+
+    ~agent() override
+    {
+        {
+            const std::scoped_lock hold(this->mutex);
+            this->stopping = true;
+        }
+        this->wake.notify_all();
+        if (this->beater.joinable())
+        {
+            this->beater.join();
+        }
+        this->server.reset();
+        this->context->client.reset();
+    }
+    agent(const agent&) = delete;
+    agent& operator=(const agent&) = delete;
+
+    [[nodiscard]] result<void> start()
+    {
+        auto created = http_server::create(this->context->settings.listen, *this);
+        if (!created)
+        {
+            return tl::unexpected<error>(created.error());
+        }
+        this->server = std::move(*created);
+        this->beater = std::thread([this] { this->beat(); });
+        return {};
+    }
+
+    [[nodiscard]] std::uint16_t port() const noexcept override
+    {
+        return this->server->port();
+    }
+
+    void drain() override { this->context->leaving = true; }
+
+    [[nodiscard]] std::size_t open_work() const override { return this->context->open; }
+
+    void handle(std::shared_ptr<http_exchange> exchange) override
+    {
+        const std::string& path = exchange->request().path;
+        if (path == "/healthz" || path == "/readyz")
+        {
+            exchange->respond(path == "/readyz" && this->context->leaving ? 503 : 200, {},
+                              "");
+        }
+        else if (!equal_secrets(exchange->request().header(headers::fleet),
+                                this->context->settings.fleet_secret))
+        {
+            respond(*exchange, to_api_error({error_code::unauthorized, "receive order",
+                                             "", "the fleet secret is missing or wrong"},
+                                            run_state::not_run));
+        }
+        else if (path == "/agent/load")
+        {
+            exchange->respond(200, {{"Content-Type", "application/json"}},
+                              to_text(this->context->report()));
+        }
+        else if (path == "/agent/drain")
+        {
+            this->drain();
+            exchange->respond(200, {}, "");
+        }
+        else
+        {
+            this->take_order(exchange);
+        }
+    }
+
+  private:
+    void take_order(const std::shared_ptr<http_exchange>& exchange)
+    {
+        const http_request& request = exchange->request();
+        auto order = parse_attempt_order(request.header(headers::attempt));
+        if (!order)
+        {
+            respond(*exchange, to_api_error(order.error(), run_state::not_run));
+            return;
+        }
+        if (request.path == "/agent/prefill")
+        {
+            start_prefill_attempt(*this->context, exchange, std::move(*order));
+            return;
+        }
+        if (!this->context->attempts.begin(order->id, this->context->time.now()))
+        {
+            respond(*exchange, to_api_error({error_code::conflict, "receive order",
+                                             this->context->settings.vm,
+                                             "this attempt was here before"},
+                                            run_state::unknown));
+        }
+        else if (request.path == "/agent/decode")
+        {
+            start_decode_attempt(*this->context, exchange, std::move(*order));
+        }
+        else if (request.path == "/agent/service")
+        {
+            start_service_attempt(*this->context, exchange, std::move(*order));
+        }
+        else
+        {
+            respond(*exchange, to_api_error({error_code::not_found, "receive order", "",
+                                             "no such order"},
+                                            run_state::not_run));
+        }
+    }
+
+    void beat()
+    {
+        std::unique_lock hold(this->mutex);
+        while (!this->stopping)
+        {
+            this->wake.wait_for(hold, heartbeat_interval);
+            hold.unlock();
+            this->context->beat();
+            this->context->attempts.forget_before(this->context->time.now() -
+                                                  outcome_retention);
+            hold.lock();
+        }
+    }
+
+    std::unique_ptr<agent_context> context;
+    std::unique_ptr<http_server> server;
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool stopping = false;
+    std::thread beater;
+};
+
+} // namespace
+
+result<std::unique_ptr<daemon_process>> make_agent(const daemon_settings& settings)
+{
+    auto context = agent_context::create(settings);
+    if (!context)
+    {
+        return tl::unexpected<error>(context.error());
+    }
+    auto made = std::make_unique<agent>(std::move(*context));
+    if (auto started = made->start(); !started)
+    {
+        return tl::unexpected<error>(started.error());
+    }
+    return made;
+}
+
+} // namespace agateseam
--- /dev/null
+++ b/src/daemon/agent_context.hpp
@@ -0,0 +1,104 @@
+/// What an agent's parts share: settings, slots, the attempts it has seen.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <agateseam/clock.hpp>
+#include <agateseam/request.hpp>
+#include <daemon/messages.hpp>
+#include <daemon/settings.hpp>
+#include <net/http_client.hpp>
+
+namespace agateseam
+{
+
+/// \brief The outcome of an attempt, kept for a while after its end.
+struct attempt_record
+{
+    bool ended = false;
+    run_state run = run_state::unknown;
+    time_point when; ///< Its begin, then its end.
+};
+
+/// \brief Runs each attempt at most once, and remembers what became of it.
+class attempt_table
+{
+  public:
+    /// \returns whether the attempt is new.
+    [[nodiscard]] bool begin(const attempt_id& id, time_point now);
+    void end(const attempt_id& id, run_state run, time_point now);
+    [[nodiscard]] result<attempt_record> find(const attempt_id& id) const;
+
+    /// \brief Drops the attempts that ended before a time.
+    void forget_before(time_point limit);
+
+  private:
+    mutable std::mutex mutex;
+    std::map<attempt_id, attempt_record> records;
+};
+
+/// \brief A part of an agent's work that wants a call at each heartbeat.
+class heartbeat_listener
+{
+  public:
+    virtual ~heartbeat_listener() = default;
+    virtual void on_heartbeat() = 0;
+};
+
+/// \brief State of one agent; outlives all its attempts.
+class agent_context
+{
+  public:
+    [[nodiscard]] static result<std::unique_ptr<agent_context>>
+    create(const daemon_settings& settings);
+
+    /// \brief Takes a slot unless all are held or the agent is leaving.
+    [[nodiscard]] bool take_slot();
+    void release_slot();
+
+    /// \brief Returns the current load, with the next sequence number.
+    [[nodiscard]] load_report report();
+    [[nodiscard]] http_header load_header();
+
+    /// \brief Calls the listener at each heartbeat until it is destroyed.
+    void listen(std::weak_ptr<heartbeat_listener> listener);
+    void beat();
+
+    daemon_settings settings;
+    steady_clock_source time;
+    attempt_table attempts;
+    std::atomic<bool> leaving{false};
+    std::atomic<std::uint32_t> waiting{0};        ///< Prefills that wait or run.
+    std::atomic<std::uint64_t> waiting_tokens{0}; ///< Their prompt tokens.
+    std::atomic<std::size_t> open{0};             ///< Attempts under way.
+    std::unique_ptr<http_client> client;
+
+  private:
+    agent_context() = default;
+
+    std::atomic<std::uint32_t> used{0};
+    std::atomic<std::uint64_t> sequence{0};
+    std::uint64_t incarnation = 0;
+    std::mutex mutex;
+    std::vector<std::weak_ptr<heartbeat_listener>> listeners;
+};
+
+/// \brief Serves a decode order as a stream: prefill elsewhere, KV transfer, decode here.
+void start_decode_attempt(agent_context& context, std::shared_ptr<http_exchange> exchange,
+                          attempt_order order);
+
+/// \brief Serves a decode agent's order to prefill.
+void start_prefill_attempt(agent_context& context,
+                           std::shared_ptr<http_exchange> exchange, attempt_order order);
+
+/// \brief Serves an order to call the plain service.
+void start_service_attempt(agent_context& context,
+                           std::shared_ptr<http_exchange> exchange, attempt_order order);
+
+} // namespace agateseam
--- /dev/null
+++ b/src/daemon/decode_attempt.cpp
@@ -0,0 +1,316 @@
+#include <daemon/agent_context.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <daemon/api_error.hpp>
+#include <daemon/server_sent_events.hpp>
+
+namespace agateseam
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr int status_ok = 200;
+
+/// One decode order: holds a slot from its begin to its end.
+class decode_attempt final : public heartbeat_listener,
+                             public http_sink,
+                             public std::enable_shared_from_this<decode_attempt>
+{
+  public:
+    decode_attempt(agent_context& shared, std::shared_ptr<http_exchange> relay,
+                   attempt_order accepted)
+        : context(&shared)
+        , exchange(std::move(relay))
+        , order(std::move(accepted))
+        , delivered(order.resume_from)
+    {
+        ++this->context->open;
+    }
+
+    ~decode_attempt() override
+    {
+        this->context->release_slot();
+        --this->context->open;
+    }
+
+    decode_attempt(const decode_attempt&) = delete;
+    decode_attempt& operator=(const decode_attempt&) = delete;
+
+    void start()
+    {
+        this->body = json::parse(this->exchange->take_body(), nullptr, false);
+        this->exchange->begin_stream(status_ok, {{"Content-Type", "text/event-stream"},
+                                                 this->context->load_header()});
+        if (!this->body.is_object())
+        {
+            this->end(run_state::not_run, {error_code::invalid, "decode", "",
+                                           "the body is not a JSON object"});
+            return;
+        }
+        const std::weak_ptr<decode_attempt> weak = this->weak_from_this();
+        this->exchange->on_gone(
+            [weak]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->give_up();
+                }
+            });
+        this->start_prefill();
+    }
+
+    void on_heartbeat() override { this->exchange->write(stream_heartbeat); }
+
+    void on_head(int status, const std::vector<http_header>&) override
+    {
+        this->engine_status = status;
+    }
+
+    [[nodiscard]] bool on_data(std::string_view data) override
+    {
+        if (this->engine_status != status_ok)
+        {
+            return true;
+        }
+        this->events.feed(data);
+        while (const auto event = this->events.next())
+        {
+            this->relay(*event);
+        }
+        return !this->exchange->gone();
+    }
+
+    void on_done(const result<void>& outcome) override
+    {
+        if (this->complete)
+        {
+            this->exchange->write(to_text({"", "", stream_end}));
+            this->finish(run_state::ran);
+        }
+        else if (!outcome)
+        {
+            this->end(run_state::ran, outcome.error());
+        }
+        else
+        {
+            this->end(run_state::not_run,
+                      {error_code::unavailable, "decode",
+                       this->context->settings.backend.url,
+                       "the engine answered " + std::to_string(this->engine_status)});
+        }
+    }
+
+  private:
+    [[nodiscard]] std::string engine_id() const
+    {
+        return this->order.id.request + "." + std::to_string(this->order.id.attempt);
+    }
+
+    /// Starts the next call, unless the relay has gone meanwhile.
+    template <typename Start>
+    void next_call(Start start)
+    {
+        const std::scoped_lock hold(this->mutex);
+        if (!this->given_up)
+        {
+            this->call = start();
+        }
+    }
+
+    void start_prefill()
+    {
+        http_call prefill;
+        prefill.method = "POST";
+        prefill.url = "http://" + this->order.prefill_address + "/agent/prefill";
+        prefill.step = "prefill";
+        prefill.total_timeout = this->order.deadline;
+        prefill.headers = {
+            {std::string(headers::fleet), this->context->settings.fleet_secret},
+            {std::string(headers::attempt), to_text(this->order)}};
+        prefill.body = this->body.dump();
+        this->next_call(
+            [&]
+            {
+                return this->context->client->fetch_async(
+                    std::move(prefill),
+                    [self = this->shared_from_this()](const result<http_reply>& reply)
+                    { self->on_prefill(reply); });
+            });
+    }
+
+    void on_prefill(const result<http_reply>& reply)
+    {
+        if (!reply)
+        {
+            this->end(run_state::not_run, reply.error());
+            return;
+        }
+        json answer = json::parse(reply->body, nullptr, false);
+        if (reply->status != status_ok || !answer.is_object() ||
+            !answer.contains("kv_transfer_params"))
+        {
+            this->end(run_state::not_run,
+                      {error_code::unavailable, "prefill", this->order.prefill_vm,
+                       "the prefill agent answered " + std::to_string(reply->status)});
+            return;
+        }
+        this->prefill_usage = answer.value("usage", json::object());
+        this->start_decode(answer["kv_transfer_params"]);
+    }
+
+    void start_decode(const json& transfer)
+    {
+        this->body["kv_transfer_params"] = transfer;
+        this->body["stream"] = true;
+        this->body["stream_options"] = {{"include_usage", true}};
+        if (this->order.resume_from > 0)
+        {
+            this->body["resume_from"] = this->order.resume_from;
+        }
+        http_call decode;
+        decode.method = "POST";
+        decode.url = this->context->settings.backend.url + this->order.path;
+        decode.step = "decode";
+        decode.silent_timeout = this->context->settings.limits.silence;
+        decode.headers = {{"Content-Type", "application/json"},
+                          {"x-request-id", this->engine_id()}};
+        decode.body = this->body.dump();
+        this->body = nullptr;
+        this->next_call(
+            [&] {
+                return this->context->client->start(std::move(decode),
+                                                    this->shared_from_this());
+            });
+    }
+
+    void relay(const server_sent_event& event)
+    {
+        if (event.data == stream_end)
+        {
+            this->complete = true;
+            return;
+        }
+        const json chunk = json::parse(event.data, nullptr, false);
+        if (!chunk.is_object())
+        {
+            return;
+        }
+        const json usage = chunk.value("usage", json());
+        const json choices = chunk.value("choices", json::array());
+        if (!choices.empty())
+        {
+            this->delivered += carries_token(choices[0]) ? 1 : 0;
+            const std::string number = std::to_string(this->delivered);
+            this->exchange->write(to_text({"", number, event.data}));
+        }
+        if (usage.is_object())
+        {
+            this->relay_usage(usage);
+        }
+    }
+
+    void relay_usage(json usage)
+    {
+        usage["prompt_tokens_details"] =
+            this->prefill_usage.value("prompt_tokens_details", json::object());
+        const std::string number = std::to_string(this->delivered);
+        this->exchange->write(to_text({"usage", number, usage.dump()}));
+    }
+
+    [[nodiscard]] static bool carries_token(const json& choice)
+    {
+        if (choice.contains("text"))
+        {
+            return !choice["text"].get_ref<const std::string&>().empty();
+        }
+        const json delta = choice.value("delta", json::object());
+        return !delta.value("content", "").empty();
+    }
+
+    /// The relay has gone: whatever runs for it is cancelled.
+    void give_up()
+    {
+        http_client::call_id running = 0;
+        {
+            const std::scoped_lock hold(this->mutex);
+            this->given_up = true;
+            running = this->call;
+        }
+        this->context->attempts.end(this->order.id, run_state::ran,
+                                    this->context->time.now());
+        this->abort_at_engine();
+        if (running != 0)
+        {
+            this->context->client->cancel(running);
+        }
+    }
+
+    void abort_at_engine()
+    {
+        http_call abort;
+        abort.method = "POST";
+        abort.url = this->context->settings.backend.url + "/abort";
+        abort.step = "cancel";
+        abort.total_timeout = this->context->settings.limits.silence;
+        abort.body = json{{"request_id", this->engine_id()}}.dump();
+        this->context->client->fetch_async(
+            std::move(abort),
+            [self = this->shared_from_this()](const result<http_reply>& reply)
+            {
+                if (!reply)
+                {
+                    log_error("cancel failed", reply.error());
+                }
+            });
+    }
+
+    void end(run_state run, const error& fault)
+    {
+        this->exchange->write(to_text({"failure", "", to_text({run, fault})}));
+        this->finish(run);
+    }
+
+    void finish(run_state run)
+    {
+        this->context->attempts.end(this->order.id, run, this->context->time.now());
+        this->exchange->finish();
+    }
+
+    agent_context* context;
+    std::shared_ptr<http_exchange> exchange;
+    attempt_order order;
+    json body;
+    json prefill_usage;
+    event_splitter events;
+    std::uint32_t delivered;
+    int engine_status = 0;
+    bool complete = false;
+    std::mutex mutex;
+    bool given_up = false;
+    http_client::call_id call = 0;
+};
+
+} // namespace
+
+void start_decode_attempt(agent_context& context, std::shared_ptr<http_exchange> exchange,
+                          attempt_order order)
+{
+    if (!context.take_slot())
+    {
+        context.attempts.end(order.id, run_state::not_run, context.time.now());
+        respond(*exchange, to_api_error({error_code::exhausted, "reserve slot",
+                                         context.settings.vm, "no slot is free"},
+                                        run_state::not_run));
+        return;
+    }
+    auto attempt =
+        std::make_shared<decode_attempt>(context, std::move(exchange), std::move(order));
+    context.listen(attempt);
+    attempt->start();
+}
+
+} // namespace agateseam
--- /dev/null
+++ b/src/daemon/entry_context.cpp
@@ -0,0 +1,111 @@
+#include <daemon/entry_context.hpp>
+
+#include <platform/http_object_store.hpp>
+
+namespace agateseam
+{
+
+std::unique_ptr<const configuration_view> configuration_view::create(configuration taken,
+                                                                     std::string document)
+{
+    auto view = std::make_unique<configuration_view>();
+    view->current = std::move(taken);
+    view->document = std::move(document);
+    for (const auto& [name, workspace] : view->current.workspaces)
+    {
+        for (const key_record& key : workspace.keys)
+        {
+            view->keys.emplace(key.id, key_owner{&name, &key});
+        }
+    }
+    return view;
+}
+
+result<std::unique_ptr<entry_context>>
+entry_context::create(const daemon_settings& settings)
+{
+    std::unique_ptr<entry_context> context(new entry_context);
+    context->settings = settings;
+    context->incarnation =
+        static_cast<std::uint64_t>(context->time.wall_now().time_since_epoch().count());
+    http_client_options options;
+    options.threads = settings.listen.threads;
+    auto client = http_client::create(options);
+    if (!client)
+    {
+        return tl::unexpected<error>(client.error());
+    }
+    context->client = std::move(*client);
+    auto store = make_http_object_store({settings.platform_url}, *context->client);
+    if (!store)
+    {
+        return tl::unexpected<error>(store.error());
+    }
+    context->store = std::move(*store);
+    auto allowance = static_admission::create(context->time, 1);
+    if (!allowance)
+    {
+        return tl::unexpected<error>(allowance.error());
+    }
+    context->allowance = std::move(*allowance);
+    context->placer = make_least_load_placement();
+    return context;
+}
+
+std::string entry_context::next_request_id()
+{
+    return this->settings.vm + "-" + std::to_string(this->incarnation) + "-" +
+           std::to_string(++this->requests);
+}
+
+result<std::string> entry_context::authenticate(const http_request& request) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view header = request.header("Authorization");
+    if (!header.starts_with(scheme))
+    {
+        return fail(error_code::unauthorized, "authenticate", "", "no key came along");
+    }
+    const auto parts = split_api_key(header.substr(scheme.size()));
+    if (!parts)
+    {
+        return tl::unexpected<error>(parts.error());
+    }
+    const auto config = this->board.config.read();
+    if (config)
+    {
+        const auto found = config->keys.find(parts->id);
+        if (found != config->keys.end() && matches(*found->second.record, parts->secret))
+        {
+            return *found->second.workspace;
+        }
+    }
+    return fail(error_code::unauthorized, "authenticate", "", "the key is not valid");
+}
+
+void entry_context::note_load(const std::vector<http_header>& head)
+{
+    for (const auto& [name, value] : head)
+    {
+        if (name != headers::load)
+        {
+            continue;
+        }
+        const auto report = parse_load_report(value);
+        const auto members = this->board.members.read();
+        if (!report || !members)
+        {
+            return;
+        }
+        for (const auto& agent : members->all)
+        {
+            if (agent->vm == report->vm)
+            {
+                agent->take(*report, this->time.now());
+                return;
+            }
+        }
+    }
+}
+
+} // namespace agateseam
--- /dev/null
+++ b/src/daemon/entry_context.hpp
@@ -0,0 +1,93 @@
+/// What an entry's parts share: the blackboard, the decisions, the clients.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include <agateseam/api_key.hpp>
+#include <agateseam/configuration.hpp>
+#include <agateseam/member.hpp>
+#include <agateseam/object_store.hpp>
+#include <agateseam/placement.hpp>
+#include <agateseam/published.hpp>
+#include <agateseam/static_admission.hpp>
+#include <daemon/messages.hpp>
+#include <daemon/settings.hpp>
+#include <net/http_client.hpp>
+
+namespace agateseam
+{
+
+/// \brief Who owns a key; points into the configuration beside it.
+struct key_owner
+{
+    const std::string* workspace = nullptr;
+    const key_record* record = nullptr;
+};
+
+/// \brief A configuration with what requests look up in it.
+struct configuration_view
+{
+    configuration current;
+    std::string document; ///< The JSON text that it was made of.
+    std::unordered_map<std::string_view, key_owner> keys; ///< By key id.
+
+    [[nodiscard]] static std::unique_ptr<const configuration_view>
+    create(configuration taken, std::string document);
+};
+
+/// \brief The blackboard: controllers publish, requests read.
+struct entry_board
+{
+    published<configuration_view> config;
+    published<member_list> members;
+};
+
+/// \brief State of one entry; outlives all its requests.
+class entry_context
+{
+  public:
+    [[nodiscard]] static result<std::unique_ptr<entry_context>>
+    create(const daemon_settings& settings);
+
+    /// \brief Returns an id that no other process and no earlier run gives out.
+    [[nodiscard]] std::string next_request_id();
+
+    /// \brief Finds out whose key came with a request.
+    /// \returns the workspace's name; `unauthorized` without a valid key.
+    [[nodiscard]] result<std::string> authenticate(const http_request& request) const;
+
+    /// \brief Takes over the load that came with an agent's answer.
+    void note_load(const std::vector<http_header>& head);
+
+    daemon_settings settings;
+    steady_clock_source time;
+    entry_board board;
+    std::unique_ptr<http_client> client;
+    std::unique_ptr<object_store> store;
+    std::unique_ptr<static_admission> allowance;
+    std::unique_ptr<placement> placer;
+    std::atomic<bool> leaving{false};
+    std::atomic<std::size_t> open{0}; ///< Requests under way.
+
+  private:
+    entry_context() = default;
+
+    std::uint64_t incarnation = 0;
+    std::atomic<std::uint64_t> requests{0};
+};
+
+/// \brief Serves a caller's request to a model.
+void start_model_request(entry_context& context, std::shared_ptr<http_exchange> exchange);
+
+/// \brief Serves a caller's request to a plain service by its route.
+void start_service_request(entry_context& context,
+                           std::shared_ptr<http_exchange> exchange);
+
+/// \brief Serves an operator's request.
+void serve_operator(entry_context& context, std::shared_ptr<http_exchange> exchange);
+
+} // namespace agateseam
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,4 +1,121 @@
-int main()
+/// The daemon's program: checks its settings, runs its role, ends on a signal.
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include <cxxopts.hpp>
+#include <easylogging++.h>
+
+#include <agateseam/version.hpp>
+#include <daemon/daemon.hpp>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace
 {
-    return 0;
+
+using namespace agateseam;
+
+constexpr int exit_fault = 1;
+constexpr int exit_usage = 2;
+constexpr timespec poll_interval{0, 50'000'000}; // 50 ms
+
+sigset_t ending_signals()
+{
+    sigset_t wanted;
+    sigemptyset(&wanted);
+    sigaddset(&wanted, SIGTERM);
+    sigaddset(&wanted, SIGINT);
+    return wanted;
+}
+
+/// Waits until the open work has ended, a second signal came or the time is up.
+int wait_for_end(const daemon_process& running, std::chrono::milliseconds limit)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    const sigset_t wanted = ending_signals();
+    while (running.open_work() > 0 && std::chrono::steady_clock::now() < until)
+    {
+        if (sigtimedwait(&wanted, nullptr, &poll_interval) > 0)
+        {
+            break;
+        }
+    }
+    const auto left = static_cast<std::int64_t>(running.open_work());
+    log_line(left == 0 ? log_level::info : log_level::warning, "stopped",
+             {{"requests_cut", left}});
+    return left == 0 ? 0 : exit_fault;
+}
+
+int run(const daemon_settings& settings)
+{
+    const sigset_t wanted = ending_signals();
+    pthread_sigmask(SIG_BLOCK, &wanted, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    start_log(settings.vm, settings.log);
+    auto running =
+        settings.role == daemon_role::entry ? make_entry(settings) : make_agent(settings);
+    if (!running)
+    {
+        log_error("start failed", running.error());
+        return exit_fault;
+    }
+    log_line(log_level::info, "started",
+             {{"port", static_cast<std::int64_t>((*running)->port())}});
+    int received = 0;
+    sigwait(&wanted, &received);
+    log_line(log_level::info, "draining", {{"signal", std::int64_t{received}}});
+    (*running)->drain();
+    return wait_for_end(**running, settings.limits.drain);
+}
+
+int start(int argc, char** argv)
+{
+    cxxopts::Options options("agateseamd", "Routes requests to prefill and decode pools");
+    options.add_options()("settings", "settings file, JSON with comments",
+                          cxxopts::value<std::string>())("check-settings",
+                                                         "check a settings file and exit",
+                                                         cxxopts::value<std::string>())(
+        "version", "print the version")("help", "print this text");
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0)
+    {
+        std::cout << options.help()
+                  << "\nExit codes: 0 done, 1 fault, 2 bad usage or settings\n";
+        return 0;
+    }
+    if (arguments.count("version") > 0)
+    {
+        std::cout << "agateseamd " AGATESEAM_VERSION "\n";
+        return 0;
+    }
+    const bool check = arguments.count("check-settings") > 0;
+    if (!check && arguments.count("settings") == 0)
+    {
+        std::cerr << options.help();
+        return exit_usage;
+    }
+    const auto settings = daemon_settings::load(
+        arguments[check ? "check-settings" : "settings"].as<std::string>());
+    if (!settings)
+    {
+        std::cerr << settings.error().description << '\n';
+        return exit_usage;
+    }
+    return check ? 0 : run(*settings);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return start(argc, argv);
+    }
+    catch (const std::exception& fault)
+    {
+        std::cerr << fault.what() << '\n';
+        return exit_usage;
+    }
 }
--- /dev/null
+++ b/src/daemon/service_attempt.cpp
@@ -0,0 +1,108 @@
+#include <daemon/agent_context.hpp>
+
+#include <daemon/api_error.hpp>
+
+namespace agateseam
+{
+
+namespace
+{
+
+/// Holds a slot while the plain service works.
+class service_attempt final : public std::enable_shared_from_this<service_attempt>
+{
+  public:
+    service_attempt(agent_context& shared, std::shared_ptr<http_exchange> relay,
+                    attempt_order accepted)
+        : context(&shared)
+        , exchange(std::move(relay))
+        , order(std::move(accepted))
+    {
+        ++this->context->open;
+    }
+
+    ~service_attempt()
+    {
+        this->context->release_slot();
+        --this->context->open;
+    }
+
+    service_attempt(const service_attempt&) = delete;
+    service_attempt& operator=(const service_attempt&) = delete;
+
+    void start()
+    {
+        http_call call;
+        call.method = this->order.method;
+        call.url = this->context->settings.backend.url + this->order.path;
+        call.step = "service";
+        call.total_timeout = this->order.deadline;
+        call.fresh_connection = !this->order.repeatable;
+        call.headers = {{"x-request-id", this->order.id.request}};
+        const std::string_view type = this->exchange->request().header("Content-Type");
+        if (!type.empty())
+        {
+            call.headers.emplace_back("Content-Type", type);
+        }
+        if (!this->order.idempotency_key.empty())
+        {
+            call.headers.emplace_back("Idempotency-Key", this->order.idempotency_key);
+        }
+        call.body = this->exchange->take_body();
+        const auto running = this->context->client->fetch_async(
+            std::move(call), [self = this->shared_from_this()](result<http_reply> reply)
+            { self->on_reply(std::move(reply)); });
+        if (this->order.repeatable)
+        {
+            this->exchange->on_gone([client = this->context->client.get(), running]
+                                    { client->cancel(running); });
+        }
+    }
+
+  private:
+    void on_reply(result<http_reply> reply)
+    {
+        if (!reply)
+        {
+            const bool begun = reply.error().code != error_code::unavailable;
+            const run_state run = begun ? run_state::unknown : run_state::not_run;
+            this->context->attempts.end(this->order.id, run, this->context->time.now());
+            respond(*this->exchange, to_api_error(reply.error(), run));
+            return;
+        }
+        this->context->attempts.end(this->order.id, run_state::ran,
+                                    this->context->time.now());
+        std::vector<http_header> head{
+            {std::string(headers::run), std::string(to_string(run_state::ran))},
+            this->context->load_header()};
+        const std::string_view type = reply->header("Content-Type");
+        if (!type.empty())
+        {
+            head.emplace_back("Content-Type", type);
+        }
+        this->exchange->respond(reply->status, std::move(head), std::move(reply->body));
+    }
+
+    agent_context* context;
+    std::shared_ptr<http_exchange> exchange;
+    attempt_order order;
+};
+
+} // namespace
+
+void start_service_attempt(agent_context& context,
+                           std::shared_ptr<http_exchange> exchange, attempt_order order)
+{
+    if (!context.take_slot())
+    {
+        context.attempts.end(order.id, run_state::not_run, context.time.now());
+        respond(*exchange, to_api_error({error_code::exhausted, "reserve slot",
+                                         context.settings.vm, "no slot is free"},
+                                        run_state::not_run));
+        return;
+    }
+    std::make_shared<service_attempt>(context, std::move(exchange), std::move(order))
+        ->start();
+}
+
+} // namespace agateseam
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,195 @@
+#include <daemon/settings.hpp>
+
+#include <fstream>
+#include <sstream>
+
+#include <agateseam/impl/document_reader.hpp>
+
+namespace agateseam
+{
+
+namespace
+{
+
+using impl::document_faults;
+using impl::section_reader;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t largest_port = 65'535;
+constexpr std::int64_t longest_ms = 86'400'000;
+constexpr std::size_t shortest_secret = 16; // characters
+
+result<std::string> read_file(const std::string& file)
+{
+    std::ifstream stream(file);
+    if (!stream)
+    {
+        return fail(error_code::not_found, "settings", file, "the file cannot be read");
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+void read_file_into(section_reader& section, std::string_view key, std::string& text)
+{
+    const std::string file = section.text(key, "");
+    if (file.empty())
+    {
+        return;
+    }
+    auto content = read_file(file);
+    if (!content)
+    {
+        section.fault(key, "names a file that cannot be read: " + file);
+        return;
+    }
+    text = std::move(*content);
+}
+
+void read_listen(const nlohmann::json& source, http_server_options& listen,
+                 document_faults& faults)
+{
+    section_reader section(source, "/listen", faults);
+    listen.address = section.text("address", "127.0.0.1");
+    listen.port = static_cast<std::uint16_t>(section.integer("port", 0, largest_port));
+    listen.threads = static_cast<unsigned>(section.integer("threads", 1, 256, 2));
+    listen.connection_limit =
+        static_cast<unsigned>(section.integer("connections", 1, 1'000'000, 20'000));
+    listen.header_limit =
+        static_cast<std::size_t>(section.integer("header_bytes", 1'024, 1 << 20, 32'768));
+    listen.body_limit = static_cast<std::size_t>(
+        section.integer("body_bytes", 1'024, 1 << 30, 8'388'608));
+    listen.idle_limit =
+        std::chrono::seconds(section.integer("idle_seconds", 1, 3'600, 10));
+    listen.request_limit =
+        milliseconds(section.integer("request_ms", 100, longest_ms, 20'000));
+    read_file_into(section, "certificate_file", listen.certificate);
+    read_file_into(section, "private_key_file", listen.private_key);
+    if (listen.certificate.empty() != listen.private_key.empty())
+    {
+        section.fault("certificate_file", "goes together with private_key_file");
+    }
+}
+
+backend_kind kind_named(std::string_view name) noexcept
+{
+    if (name == "prefill")
+    {
+        return backend_kind::prefill;
+    }
+    return name == "decode" ? backend_kind::decode : backend_kind::service;
+}
+
+void read_backend(const nlohmann::json& source, backend_settings& backend,
+                  document_faults& faults)
+{
+    section_reader section(source, "/backend", faults);
+    backend.kind = kind_named(section.one_of("kind", {"prefill", "decode", "service"}));
+    backend.pool = section.text("pool");
+    backend.url = section.text("url");
+    backend.slots = static_cast<std::uint32_t>(section.integer("slots", 1, 100'000, 20));
+    backend.queue_limit =
+        static_cast<std::uint32_t>(section.integer("queue", 0, 100'000, 256));
+    backend.tokens_per_second = section.number("tokens_per_second", 1, 1e9, 20'000.0);
+    backend.link_tokens_per_second =
+        section.number("link_tokens_per_second", 1, 1e12, 400'000.0);
+    backend.checks_generation = section.boolean("checks_generation", true);
+    if (!backend.url.starts_with("http://") && !backend.url.starts_with("https://"))
+    {
+        section.fault("url", "must begin with http:// or https://");
+    }
+}
+
+void read_limits(const nlohmann::json& source, limit_settings& limits,
+                 document_faults& faults)
+{
+    section_reader section(source, "/limits", faults);
+    limits.request =
+        milliseconds(section.integer("request_ms", 100, longest_ms, 120'000));
+    limits.first_token =
+        milliseconds(section.integer("first_token_ms", 10, longest_ms, 30'000));
+    limits.silence = milliseconds(section.integer("silence_ms", 200, longest_ms, 2'000));
+    limits.drain = milliseconds(section.integer("drain_ms", 0, longest_ms, 30'000));
+    limits.attempts = static_cast<std::uint32_t>(section.integer("attempts", 1, 10, 3));
+    limits.output_tokens =
+        static_cast<std::uint32_t>(section.integer("output_tokens", 1, 1'000'000, 4'096));
+}
+
+std::string read_secret(section_reader& section, std::string_view key)
+{
+    std::string secret = section.text(key);
+    if (!secret.empty() && secret.size() < shortest_secret)
+    {
+        section.fault(key, "must have at least 16 characters");
+    }
+    return secret;
+}
+
+log_level level_named(std::string_view name) noexcept
+{
+    if (name == "debug")
+    {
+        return log_level::debug;
+    }
+    if (name == "warning")
+    {
+        return log_level::warning;
+    }
+    return name == "error" ? log_level::error : log_level::info;
+}
+
+daemon_settings read_root(const nlohmann::json& document, document_faults& faults)
+{
+    daemon_settings settings;
+    section_reader root(document, "", faults);
+    const std::string role = root.one_of("role", {"entry", "agent"});
+    settings.role = role == "agent" ? daemon_role::agent : daemon_role::entry;
+    settings.vm = root.text("vm");
+    settings.failure_domain = root.text("failure_domain");
+    read_listen(root.object("listen", true), settings.listen, faults);
+    settings.platform_url = root.text("platform_url");
+    settings.fleet_secret = read_secret(root, "fleet_secret");
+    if (settings.role == daemon_role::entry)
+    {
+        settings.operator_token = read_secret(root, "operator_token");
+    }
+    else
+    {
+        read_backend(root.object("backend", true), settings.backend, faults);
+    }
+    read_limits(root.object("limits", false), settings.limits, faults);
+    settings.log =
+        level_named(root.one_of("log", {"debug", "info", "warning", "error"}, "info"));
+    return settings;
+}
+
+} // namespace
+
+result<daemon_settings> daemon_settings::parse(std::string_view document)
+{
+    const nlohmann::json parsed = nlohmann::json::parse(document, nullptr, false, true);
+    if (parsed.is_discarded())
+    {
+        return fail(error_code::invalid, "settings", "", "/: is not JSON with comments");
+    }
+    document_faults faults;
+    daemon_settings settings = read_root(parsed, faults);
+    if (!faults.empty())
+    {
+        return fail(error_code::invalid, "settings", "", impl::join_faults(faults));
+    }
+    return settings;
+}
+
+result<daemon_settings> daemon_settings::load(const std::string& file)
+{
+    const auto text = read_file(file);
+    if (!text)
+    {
+        return tl::unexpected<error>(text.error());
+    }
+    return parse(*text);
+}
+
+} // namespace agateseam
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -114,9 +114,8 @@
 class client_thread
 {
   public:
-    client_thread(const http_client_options& chosen, unsigned shard_index)
+    explicit client_thread(const http_client_options& chosen)
         : options(chosen)
-        , shard(shard_index)
         , multi(curl_multi_init())
     {
         curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, chosen.connections);
@@ -321,7 +320,6 @@
     }
 
     http_client_options options;
-    unsigned shard;
     CURLM* multi;
     std::atomic<bool> stopping{false};
     std::mutex mutex;
@@ -339,7 +337,7 @@
     {
         for (unsigned index = 0; index < std::max(1U, options.threads); ++index)
         {
-            this->threads.push_back(std::make_unique<client_thread>(options, index));
+            this->threads.push_back(std::make_unique<client_thread>(options));
         }
     }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -31,9 +31,8 @@
                             public std::enable_shared_from_this<exchange_impl>
 {
   public:
-    exchange_impl(server_impl& owner_server, MHD_Connection* peer)
-        : owner(&owner_server)
-        , connection(peer)
+    explicit exchange_impl(MHD_Connection* peer)
+        : connection(peer)
         , started(std::chrono::steady_clock::now())
     {
         const MHD_ConnectionInfo* info =
@@ -102,7 +101,6 @@
     void tell_gone();
     [[nodiscard]] MHD_Response* make_response();
 
-    server_impl* owner;
     std::mutex mutex;
     MHD_Connection* connection;
     int descriptor = -1;
@@ -446,7 +444,7 @@
 MHD_Result first_call(server_impl& server, MHD_Connection* connection, const char* url,
                       const char* method, void** context)
 {
-    auto exchange = std::make_shared<exchange_impl>(server, connection);
+    auto exchange = std::make_shared<exchange_impl>(connection);
     exchange->parsed.method = method;
     exchange->parsed.path = url;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, copy_header,
