--- a/include/agateseam/request.hpp
+++ b/include/agateseam/request.hpp
@@ -1,10 +1,10 @@
 /// Typed messages about requests and attempts that pass between entries and agents.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include <agateseam/forward_declarations.hpp>
 
@@ -39,7 +39,14 @@
     std::string request;       ///< Unique over the fleet.
     std::uint32_t attempt = 0; ///< Counts from 1 within the request.
 
-    friend auto operator<=>(const attempt_id&, const attempt_id&) = default;
+    friend bool operator==(const attempt_id&, const attempt_id&) = default;
+
+    /// \brief Orders by request, then by attempt.
+    friend bool operator<(const attempt_id& left, const attempt_id& right) noexcept
+    {
+        return std::tie(left.request, left.attempt) <
+               std::tie(right.request, right.attempt);
+    }
 };
 
 /// \brief An agent's state, as carried by its answers and its heartbeats.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -218,7 +218,7 @@
         "weight", "", cxxopts::value<double>())("help", "")("version", "")(
         "words", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional("words");
-    auto arguments = options.parse(argc, argv);
+    const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0)
     {
         std::cout << usage;
@@ -240,7 +240,7 @@
     {
         words = arguments["words"].as<std::vector<std::string>>();
     }
-    return dispatch({std::move(*client), std::move(arguments), std::move(words)});
+    return dispatch({std::move(*client), arguments, std::move(words)});
 }
 
 } // namespace
