Hostile callers: limits on heads, bodies, nesting and members

Cause: a trickled head was never dropped, an oversize chunked body was cut without an answer, a body that nests deep reached recursive JSON code in the agent, and a caller could set resume_from and kv_transfer_params itself. Change: the server watches each connection's head; an oversize body is read and dropped within bounds and answered 413; the entry reads a body in one pass without building it, and refuses nesting past 64, repeated, mistyped and reserved members; a malformed chunk from an engine ends the attempt only. The entry shows its open requests at /metrics.

--- a/fakes/engine_fake.cpp
+++ b/fakes/engine_fake.cpp
@@ -199,6 +199,7 @@
     }
 
     void generate(const std::shared_ptr<http_exchange>& exchange)
+    try
     {
         const json body = json::parse(exchange->request().body, nullptr, false);
         if (!body.is_object())
@@ -224,6 +225,10 @@
             this->admit(exchange, std::move(call), due);
         }
     }
+    catch (const json::exception&)
+    {
+        exchange->respond(400, {}, R"({"error":{"message":"a member is mistyped"}})");
+    }
 
     /// Reserves the compute of a prefill after those that came before it.
     steady_clock::time_point book_prefill(const parsed_call& call)
--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -79,7 +79,10 @@
         this->events.feed(data);
         while (const auto event = this->events.next())
         {
-            this->relay(*event);
+            if (!this->relay(*event))
+            {
+                return false;
+            }
         }
         return !this->exchange->gone();
     }
@@ -187,18 +190,28 @@
             });
     }
 
-    void relay(const server_sent_event& event)
+    /// Passes an event on; a malformed one ends the attempt.
+    [[nodiscard]] bool relay(const server_sent_event& event)
+    try
     {
         if (event.data == stream_end)
         {
             this->complete = true;
-            return;
-        }
-        const json chunk = json::parse(event.data, nullptr, false);
-        if (!chunk.is_object())
-        {
-            return;
+            return true;
         }
+        this->relay_chunk(event);
+        return true;
+    }
+    catch (const json::exception& fault)
+    {
+        log_error("malformed chunk", {error_code::broken, "decode",
+                                      this->context->settings.backend.url, fault.what()});
+        return false;
+    }
+
+    void relay_chunk(const server_sent_event& event)
+    {
+        const json chunk = json::parse(event.data);
         const json usage = chunk.value("usage", json());
         const json choices = chunk.value("choices", json::array());
         if (!choices.empty())
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -79,6 +79,11 @@
         {
             exchange->respond(this->ready() ? 200 : 503, {}, "");
         }
+        else if (path == "/metrics")
+        {
+            exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                              this->metrics());
+        }
         else if (path.starts_with("/operator/"))
         {
             this->queue_operator(std::move(exchange));
@@ -95,7 +100,7 @@
         }
         else if (path == "/v1/chat/completions" || path == "/v1/completions")
         {
-            start_model_request(*this->context, std::move(exchange));
+            this->take_model_request(std::move(exchange));
         }
         else
         {
@@ -110,6 +115,27 @@
                this->context->board.members.read();
     }
 
+    void take_model_request(std::shared_ptr<http_exchange> exchange)
+    {
+        if (exchange->request().method != "POST")
+        {
+            api_error refused;
+            refused.status = 405;
+            refused.code = "method_not_allowed";
+            refused.step = "receive";
+            refused.message = "use POST";
+            respond(*exchange, refused);
+            return;
+        }
+        start_model_request(*this->context, std::move(exchange));
+    }
+
+    [[nodiscard]] std::string metrics() const
+    {
+        return "# TYPE agateseam_requests_open gauge\nagateseam_requests_open " +
+               std::to_string(this->context->open) + "\n";
+    }
+
     void list_models(http_exchange& exchange) const
     {
         const auto owner = this->context->authenticate(exchange.request());
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <daemon/api_error.hpp>
+#include <daemon/model_request_parts.hpp>
 #include <daemon/server_sent_events.hpp>
 
 namespace agateseam
@@ -18,87 +19,8 @@
 using std::chrono::milliseconds;
 
 constexpr int status_ok = 200;
-constexpr std::size_t bytes_per_token = 4;
 constexpr std::size_t slow_caller_limit = 1 << 20; // bytes that wait to be sent
 
-/// What the entry needs to know of a caller's request.
-struct model_request_parts
-{
-    std::string model;
-    bool chat = false;
-    bool stream = false;
-    bool include_usage = false;
-    std::uint32_t prompt_tokens = 0;
-    std::uint32_t output_tokens = 0;
-};
-
-error invalid_request(std::string_view description)
-{
-    return {error_code::invalid, "read request", "", std::string(description)};
-}
-
-std::size_t prompt_bytes(const json& body, bool chat)
-{
-    if (!chat)
-    {
-        const json prompt = body.value("prompt", json());
-        return prompt.is_string() ? prompt.get_ref<const std::string&>().size() : 0;
-    }
-    std::size_t bytes = 0;
-    for (const json& message : body["messages"])
-    {
-        bytes += message.value("role", "").size() + 2;
-        const json content = message.value("content", json());
-        bytes += content.is_string() ? content.get_ref<const std::string&>().size() : 0;
-    }
-    return bytes;
-}
-
-result<model_request_parts> read_parts(const http_request& request,
-                                       const limit_settings& limits)
-try
-{
-    const json body = json::parse(request.body, nullptr, false);
-    if (!body.is_object())
-    {
-        return tl::unexpected<error>(invalid_request("the body is not a JSON object"));
-    }
-    model_request_parts parts;
-    parts.chat = request.path == "/v1/chat/completions";
-    const bool has_prompt = parts.chat
-                                ? body.contains("messages") && body["messages"].is_array()
-                                : body.contains("prompt") && body["prompt"].is_string();
-    if (!has_prompt)
-    {
-        return tl::unexpected<error>(
-            invalid_request(parts.chat ? "messages must be a list of messages"
-                                       : "prompt must be a string"));
-    }
-    if (!body.contains("model") || !body["model"].is_string())
-    {
-        return tl::unexpected<error>(invalid_request("model must be a string"));
-    }
-    parts.model = body["model"].get<std::string>();
-    parts.stream = body.value("stream", false);
-    parts.include_usage =
-        body.value("stream_options", json::object()).value("include_usage", false);
-    const json most = body.value("max_tokens", json(limits.output_tokens));
-    if (!most.is_number_unsigned() || most.get<std::uint64_t>() == 0)
-    {
-        return tl::unexpected<error>(
-            invalid_request("max_tokens must be a whole number above 0"));
-    }
-    parts.output_tokens = static_cast<std::uint32_t>(
-        std::min<std::uint64_t>(most.get<std::uint64_t>(), limits.output_tokens));
-    const std::size_t bytes = prompt_bytes(body, parts.chat);
-    parts.prompt_tokens = static_cast<std::uint32_t>(bytes / bytes_per_token + 1);
-    return parts;
-}
-catch (const json::exception& fault)
-{
-    return tl::unexpected<error>(invalid_request(fault.what()));
-}
-
 /// One caller's request: its attempts, one after the other, and the answer's relay.
 class model_request final : public http_sink,
                             public std::enable_shared_from_this<model_request>
@@ -124,7 +46,8 @@
             return;
         }
         this->workspace = std::move(*owner);
-        auto read = read_parts(this->exchange->request(), this->context->settings.limits);
+        auto read =
+            read_model_request(this->exchange->request(), this->context->settings.limits);
         if (!read)
         {
             this->refuse(to_api_error(read.error(), run_state::not_run));
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,4 +1,4 @@
-#include <net/http_server.hpp>
+#include <net/http_exchange.hpp>
 
 #include <algorithm>
 #include <atomic>
@@ -6,12 +6,12 @@
 #include <mutex>
 #include <strings.h>
 #include <thread>
+#include <unordered_map>
 #include <unordered_set>
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,99 +21,17 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds sweep_interval{200};
-constexpr std::size_t read_block = 32 * 1024; // bytes
+using std::chrono::steady_clock;
 
-class server_impl;
+constexpr std::chrono::milliseconds sweep_interval{200};
+constexpr std::size_t discard_factor = 16; ///< Body limits read only to refuse politely.
 
-/// One request's state, shared by libmicrohttpd's callbacks and the handler.
-class exchange_impl final : public http_exchange,
-                            public std::enable_shared_from_this<exchange_impl>
+/// One connection, from its begin to its end.
+struct connection_watch
 {
-  public:
-    explicit exchange_impl(MHD_Connection* peer)
-        : connection(peer)
-        , started(std::chrono::steady_clock::now())
-    {
-        const MHD_ConnectionInfo* info =
-            MHD_get_connection_info(peer, MHD_CONNECTION_INFO_CONNECTION_FD);
-        this->descriptor = info != nullptr ? info->connect_fd : -1;
-    }
-
-    [[nodiscard]] const http_request& request() const noexcept override
-    {
-        return this->parsed;
-    }
-
-    [[nodiscard]] std::string take_body() override
-    {
-        return std::move(this->parsed.body);
-    }
-
-    void respond(int status, std::vector<http_header> headers, std::string body) override;
-    void begin_stream(int status, std::vector<http_header> headers) override;
-    std::size_t write(std::string_view data) override;
-    void finish() override;
-    void abort() override;
-
-    [[nodiscard]] bool gone() const noexcept override
-    {
-        return this->client_gone.load(std::memory_order_acquire);
-    }
-
-    void on_gone(std::function<void()> call) override;
-
-    /// Called on the server's thread after the handler and after each resumption.
-    MHD_Result queue_or_suspend();
-
-    /// Called on the server's thread for more of a stream.
-    ssize_t read(char* buffer, std::size_t size);
-
-    /// The request is over for the server; the connection must not be used again.
-    void complete(bool whole);
-
-    /// Detects a closed socket while the connection is suspended.
-    void check_peer();
-
-    /// Ends the answer because the server stops.
-    void stop();
-
-    http_request parsed;
-    bool body_complete = false;
-    bool too_large = false;
-
-    [[nodiscard]] std::chrono::steady_clock::time_point start_time() const noexcept
-    {
-        return this->started;
-    }
-
-  private:
-    enum class phase : std::uint8_t
-    {
-        waiting, ///< No answer yet.
-        whole,   ///< A whole answer is ready or queued.
-        streaming,
-        ended, ///< The stream's proper end is known.
-        aborted
-    };
-
-    void wake_locked();
-    void tell_gone();
-    [[nodiscard]] MHD_Response* make_response();
-
-    std::mutex mutex;
-    MHD_Connection* connection;
     int descriptor = -1;
-    std::chrono::steady_clock::time_point started;
-    phase state = phase::waiting;
-    bool suspended = false;
-    bool queued = false;
-    int status = 0;
-    std::vector<http_header> answer_headers;
-    std::string pending; ///< The whole body, or what of the stream is not sent yet.
-    std::size_t pending_offset = 0;
-    std::atomic<bool> client_gone{false};
-    std::function<void()> gone_call;
+    bool in_head = true; ///< Between requests, or in a request's head.
+    steady_clock::time_point head_limit;
 };
 
 class server_impl final : public http_server
@@ -146,6 +64,7 @@
     {
         if (!this->quiesced.exchange(true))
         {
+            this->closing = true;
             const int socket = static_cast<int>(MHD_quiesce_daemon(this->daemon));
             if (socket >= 0)
             {
@@ -154,23 +73,51 @@
         }
     }
 
-    void add(const std::shared_ptr<exchange_impl>& exchange)
+    void close_after_answers() override { this->closing = true; }
+
+    /// A connection begins; its first head must be complete within the request limit.
+    [[nodiscard]] connection_watch* watch(int descriptor)
+    {
+        const std::scoped_lock hold(this->mutex);
+        auto fresh = std::make_unique<connection_watch>();
+        fresh->descriptor = descriptor;
+        fresh->head_limit = steady_clock::now() + this->options.request_limit;
+        connection_watch* const key = fresh.get();
+        this->watches.emplace(key, std::move(fresh));
+        return key;
+    }
+
+    void unwatch(connection_watch* watched)
+    {
+        const std::scoped_lock hold(this->mutex);
+        this->watches.erase(watched);
+    }
+
+    /// A request's head is complete.
+    void add(const std::shared_ptr<exchange_impl>& exchange, connection_watch* watched)
     {
         const std::scoped_lock hold(this->mutex);
         this->open.insert(exchange);
+        watched->in_head = false;
     }
 
-    void drop(const std::shared_ptr<exchange_impl>& exchange)
+    /// A request is over; the connection may idle, then bring another one.
+    void drop(const std::shared_ptr<exchange_impl>& exchange, connection_watch* watched)
     {
         const std::scoped_lock hold(this->mutex);
         this->open.erase(exchange);
+        watched->in_head = true;
+        watched->head_limit =
+            steady_clock::now() + this->options.idle_limit + this->options.request_limit;
     }
 
+    std::atomic<bool> closing{false};
     http_server_options options;
     http_handler* handler;
 
   private:
     void sweep();
+    void end_slow_heads();
     void shut_down();
     [[nodiscard]] std::vector<std::shared_ptr<exchange_impl>> exchanges() const;
 
@@ -181,228 +128,10 @@
     std::condition_variable stopping;
     bool stop_requested = false;
     std::unordered_set<std::shared_ptr<exchange_impl>> open;
+    std::unordered_map<connection_watch*, std::unique_ptr<connection_watch>> watches;
     std::thread sweeper;
 };
 
-void exchange_impl::wake_locked()
-{
-    if (this->suspended && this->connection != nullptr)
-    {
-        this->suspended = false;
-        MHD_resume_connection(this->connection);
-    }
-}
-
-void exchange_impl::respond(int code, std::vector<http_header> headers, std::string body)
-{
-    const std::scoped_lock hold(this->mutex);
-    if (this->state != phase::waiting)
-    {
-        return;
-    }
-    this->state = phase::whole;
-    this->status = code;
-    this->answer_headers = std::move(headers);
-    this->pending = std::move(body);
-    this->wake_locked();
-}
-
-void exchange_impl::begin_stream(int code, std::vector<http_header> headers)
-{
-    const std::scoped_lock hold(this->mutex);
-    if (this->state != phase::waiting)
-    {
-        return;
-    }
-    this->state = phase::streaming;
-    this->status = code;
-    this->answer_headers = std::move(headers);
-    this->wake_locked();
-}
-
-std::size_t exchange_impl::write(std::string_view data)
-{
-    const std::scoped_lock hold(this->mutex);
-    if (this->state != phase::streaming || this->gone())
-    {
-        return 0;
-    }
-    this->pending.append(data);
-    this->wake_locked();
-    return this->pending.size() - this->pending_offset;
-}
-
-void exchange_impl::finish()
-{
-    const std::scoped_lock hold(this->mutex);
-    if (this->state == phase::streaming)
-    {
-        this->state = phase::ended;
-        this->wake_locked();
-    }
-}
-
-void exchange_impl::abort()
-{
-    const std::scoped_lock hold(this->mutex);
-    if (this->state == phase::waiting || this->state == phase::streaming)
-    {
-        this->state = phase::aborted;
-        this->wake_locked();
-    }
-}
-
-void exchange_impl::on_gone(std::function<void()> call)
-{
-    {
-        const std::scoped_lock hold(this->mutex);
-        if (!this->gone())
-        {
-            this->gone_call = std::move(call);
-            return;
-        }
-    }
-    call();
-}
-
-void exchange_impl::tell_gone()
-{
-    std::function<void()> call;
-    {
-        const std::scoped_lock hold(this->mutex);
-        this->client_gone.store(true, std::memory_order_release);
-        call = std::move(this->gone_call);
-        this->gone_call = nullptr;
-    }
-    if (call)
-    {
-        call();
-    }
-}
-
-ssize_t stream_reader(void* context, std::uint64_t, char* buffer, std::size_t size)
-{
-    return static_cast<exchange_impl*>(context)->read(buffer, size);
-}
-
-MHD_Response* exchange_impl::make_response()
-{
-    MHD_Response* response = nullptr;
-    if (this->state == phase::whole)
-    {
-        response = MHD_create_response_from_buffer(
-            this->pending.size(), this->pending.data(), MHD_RESPMEM_MUST_COPY);
-    }
-    else
-    {
-        response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, read_block,
-                                                     stream_reader, this, nullptr);
-    }
-    for (const auto& [name, value] : this->answer_headers)
-    {
-        MHD_add_response_header(response, name.c_str(), value.c_str());
-    }
-    return response;
-}
-
-MHD_Result exchange_impl::queue_or_suspend()
-{
-    const std::scoped_lock hold(this->mutex);
-    if (this->state == phase::waiting)
-    {
-        this->suspended = true;
-        MHD_suspend_connection(this->connection);
-        return MHD_YES;
-    }
-    if (this->state == phase::aborted && !this->queued)
-    {
-        return MHD_NO;
-    }
-    if (this->queued)
-    {
-        return MHD_YES;
-    }
-    this->queued = true;
-    MHD_Response* response = this->make_response();
-    const MHD_Result done = MHD_queue_response(
-        this->connection, static_cast<unsigned>(this->status), response);
-    MHD_destroy_response(response);
-    return done;
-}
-
-ssize_t exchange_impl::read(char* buffer, std::size_t size)
-{
-    const std::scoped_lock hold(this->mutex);
-    const std::size_t ready = this->pending.size() - this->pending_offset;
-    if (this->state == phase::aborted)
-    {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
-    if (ready > 0)
-    {
-        const std::size_t count = std::min(ready, size);
-        std::copy_n(this->pending.data() + this->pending_offset, count, buffer);
-        this->pending_offset += count;
-        if (this->pending_offset == this->pending.size())
-        {
-            this->pending.clear();
-            this->pending_offset = 0;
-        }
-        return static_cast<ssize_t>(count);
-    }
-    if (this->state == phase::ended)
-    {
-        return MHD_CONTENT_READER_END_OF_STREAM;
-    }
-    this->suspended = true;
-    MHD_suspend_connection(this->connection);
-    return 0;
-}
-
-void exchange_impl::complete(bool whole)
-{
-    {
-        const std::scoped_lock hold(this->mutex);
-        this->connection = nullptr;
-        this->descriptor = -1;
-        this->suspended = false;
-    }
-    if (!whole)
-    {
-        this->tell_gone();
-    }
-}
-
-void exchange_impl::check_peer()
-{
-    bool closed = false;
-    {
-        const std::scoped_lock hold(this->mutex);
-        if (!this->suspended || this->descriptor < 0)
-        {
-            return;
-        }
-        pollfd probe{this->descriptor, POLLRDHUP, 0};
-        closed = ::poll(&probe, 1, 0) > 0 &&
-                 (probe.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-        if (closed)
-        {
-            this->state = phase::aborted;
-            this->wake_locked();
-        }
-    }
-    if (closed)
-    {
-        this->tell_gone();
-    }
-}
-
-void exchange_impl::stop()
-{
-    this->abort();
-    this->tell_gone();
-}
-
 MHD_Result copy_header(void* context, MHD_ValueKind, const char* name, const char* value)
 {
     auto* headers = static_cast<std::vector<http_header>*>(context);
@@ -441,10 +170,31 @@
     return done;
 }
 
+[[nodiscard]] connection_watch* watch_of(MHD_Connection* connection)
+{
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return static_cast<connection_watch*>(info->socket_context);
+}
+
+void on_connection(void* context, MHD_Connection* connection, void** socket_context,
+                   MHD_ConnectionNotificationCode code)
+{
+    auto& server = *static_cast<server_impl*>(context);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+        const MHD_ConnectionInfo* info =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        *socket_context = server.watch(info->connect_fd);
+        return;
+    }
+    server.unwatch(static_cast<connection_watch*>(*socket_context));
+}
+
 MHD_Result first_call(server_impl& server, MHD_Connection* connection, const char* url,
                       const char* method, void** context)
 {
-    auto exchange = std::make_shared<exchange_impl>(connection);
+    auto exchange = std::make_shared<exchange_impl>(connection, server.closing);
     exchange->parsed.method = method;
     exchange->parsed.path = url;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, copy_header,
@@ -458,20 +208,30 @@
         return reject(connection, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
     }
     *context = new std::shared_ptr<exchange_impl>(exchange);
-    server.add(exchange);
+    server.add(exchange, watch_of(connection));
     return MHD_YES;
 }
 
+/// Keeps a part of the body; what is past the limit is read and dropped, within bounds,
+/// so that the client can hear of its refusal.
 MHD_Result take_body_part(const server_impl& server, exchange_impl& exchange,
                           const char* data, std::size_t* size)
 {
-    const auto age = std::chrono::steady_clock::now() - exchange.start_time();
-    if (exchange.parsed.body.size() + *size > server.options.body_limit ||
-        age > server.options.request_limit)
+    const auto age = steady_clock::now() - exchange.start_time();
+    const std::size_t limit = server.options.body_limit;
+    exchange.received += *size;
+    if (exchange.received > limit * discard_factor || age > server.options.request_limit)
     {
         return MHD_NO;
     }
-    exchange.parsed.body.append(data, *size);
+    if (exchange.received > limit)
+    {
+        std::string().swap(exchange.parsed.body);
+    }
+    else
+    {
+        exchange.parsed.body.append(data, *size);
+    }
     *size = 0;
     return MHD_YES;
 }
@@ -490,6 +250,10 @@
     {
         return take_body_part(server, *exchange, data, size);
     }
+    if (exchange->received > server.options.body_limit)
+    {
+        return reject(connection, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
+    }
     if (!exchange->body_complete)
     {
         exchange->body_complete = true;
@@ -498,7 +262,7 @@
     return exchange->queue_or_suspend();
 }
 
-void on_completed(void* context, MHD_Connection*, void** request_context,
+void on_completed(void* context, MHD_Connection* connection, void** request_context,
                   MHD_RequestTerminationCode reason)
 {
     if (*request_context == nullptr)
@@ -509,7 +273,7 @@
     const std::shared_ptr<exchange_impl> exchange = *holder;
     *request_context = nullptr;
     exchange->complete(reason == MHD_REQUEST_TERMINATED_COMPLETED_OK);
-    static_cast<server_impl*>(context)->drop(exchange);
+    static_cast<server_impl*>(context)->drop(exchange, watch_of(connection));
     delete holder;
 }
 
@@ -559,10 +323,10 @@
         items.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, this->options.private_key.data()});
     }
     items.push_back({MHD_OPTION_END, 0, nullptr});
-    this->daemon =
-        MHD_start_daemon(flags, this->options.port, nullptr, nullptr, on_access, this,
-                         MHD_OPTION_NOTIFY_COMPLETED, on_completed, this,
-                         MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
+    this->daemon = MHD_start_daemon(
+        flags, this->options.port, nullptr, nullptr, on_access, this,
+        MHD_OPTION_NOTIFY_COMPLETED, on_completed, this, MHD_OPTION_NOTIFY_CONNECTION,
+        on_connection, this, MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
     if (this->daemon == nullptr)
     {
         return fail(error_code::unavailable, "listen",
@@ -593,10 +357,25 @@
         {
             exchange->check_peer();
         }
+        this->end_slow_heads();
         hold.lock();
     }
 }
 
+/// Ends connections whose head takes too long; libmicrohttpd then sees them closed.
+void server_impl::end_slow_heads()
+{
+    const auto now = steady_clock::now();
+    const std::scoped_lock hold(this->mutex);
+    for (const auto& [key, watched] : this->watches)
+    {
+        if (watched->in_head && now > watched->head_limit)
+        {
+            ::shutdown(watched->descriptor, SHUT_RDWR);
+        }
+    }
+}
+
 void server_impl::shut_down()
 {
     {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -116,7 +116,10 @@
     /// \brief Returns how many requests are being answered.
     [[nodiscard]] virtual std::size_t open_exchanges() const noexcept = 0;
 
-    /// \brief Takes no new connections; those that are open go on.
+    /// \brief Closes each connection after its next answer.
+    virtual void close_after_answers() = 0;
+
+    /// \brief Takes no new connections; those that are open end after their answers.
     virtual void quiesce() = 0;
 };
 
