Attempts: numbered tokens, leases renewed by the relay, retry budget, resumption

Cause: a repeated event reached the caller twice, a gap was passed on, a relay that stops without closing held its slot for good, the chunk ids changed after a resumption, and a dead engine's agent went on offering its free slots. Change: each token's event carries ATTEMPT.NUMBER, each agent's answer the attempt that it answers; late, crossed and repeated ones are dropped and counted, a gap ends the attempt. Entries renew the leases of their attempts in one call an agent and second; an agent ends what is not renewed in 3 s and keeps the slot until its engine has confirmed. Retries come out of a budget. A silent stream is probed over a new connection. GET /agent/attempts/ID/N tells an outcome. On start an agent cancels what its engine still runs.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -7,4 +7,5 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
+#include <agateseam/retry_budget.hpp>
 #include <agateseam/version.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -31,5 +31,6 @@
 enum class backend_kind : std::uint8_t;
 struct attempt_id;
 struct load_report;
+class retry_budget;
 
 } // namespace agateseam
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -47,6 +47,7 @@
         self.command = command
         self.log_path = os.path.join(directory, name + ".log")
         self.log = open(self.log_path, "ab")
+        self.begin = os.path.getsize(self.log_path)
         self.child = subprocess.Popen(command, stdout=self.log, stderr=self.log)
         self.port = None
 
@@ -54,8 +55,14 @@
         with open(self.log_path, "rb") as log:
             return log.read().decode(errors="replace").splitlines()
 
+    def own_lines(self):
+        """The lines of this process, without those of an earlier one of its name."""
+        with open(self.log_path, "rb") as log:
+            log.seek(self.begin)
+            return log.read().decode(errors="replace").splitlines()
+
     def read_port(self):
-        for line in self.lines():
+        for line in self.own_lines():
             if line.strip().isdigit():
                 return int(line)
             if '"event":"started"' in line:
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -1,5 +1,6 @@
 #include <daemon/daemon.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <thread>
 
@@ -17,6 +18,7 @@
 
 constexpr std::chrono::milliseconds heartbeat_interval{500};
 constexpr std::chrono::seconds outcome_retention{120};
+constexpr std::string_view attempts_path = "/agent/attempts/";
 
 /// Serves the orders of entries and of other agents.
 class agent final : public daemon_process, public http_handler
@@ -85,6 +87,14 @@
             exchange->respond(200, {{"Content-Type", "application/json"}},
                               to_text(this->context->report()));
         }
+        else if (path == "/agent/leases")
+        {
+            this->renew(*exchange);
+        }
+        else if (path.starts_with(attempts_path))
+        {
+            this->tell_outcome(*exchange);
+        }
         else if (path == "/agent/drain")
         {
             this->drain();
@@ -106,11 +116,6 @@
             respond(*exchange, to_api_error(order.error(), run_state::not_run));
             return;
         }
-        if (request.path == "/agent/prefill")
-        {
-            start_prefill_attempt(*this->context, exchange, std::move(*order));
-            return;
-        }
         if (!this->context->attempts.begin(order->id, this->context->time.now()))
         {
             respond(*exchange, to_api_error({error_code::conflict, "receive order",
@@ -118,6 +123,10 @@
                                              "this attempt was here before"},
                                             run_state::unknown));
         }
+        else if (request.path == "/agent/prefill")
+        {
+            start_prefill_attempt(*this->context, exchange, std::move(*order));
+        }
         else if (request.path == "/agent/decode")
         {
             start_decode_attempt(*this->context, exchange, std::move(*order));
@@ -134,14 +143,74 @@
         }
     }
 
+    /// Renews the leases of an entry's attempts, and ends those it gave up.
+    void renew(http_exchange& exchange)
+    {
+        const auto order = parse_lease_order(exchange.request().body);
+        if (!order)
+        {
+            respond(exchange, to_api_error(order.error(), run_state::not_run));
+            return;
+        }
+        std::vector<attempt_id> unknown;
+        for (const attempt_id& id : order->renew)
+        {
+            if (!this->context->attempts.renew(id, this->context->time.now()))
+            {
+                unknown.push_back(id);
+            }
+        }
+        for (const attempt_id& id : order->end)
+        {
+            this->context->leases.end(id);
+        }
+        exchange.respond(200, {{"Content-Type", "application/json"}},
+                         lease_reply_text(unknown));
+    }
+
+    /// Answers what became of REQUEST/ATTEMPT.
+    void tell_outcome(http_exchange& exchange)
+    {
+        std::string name = exchange.request().path.substr(attempts_path.size());
+        std::replace(name.begin(), name.end(), '/', '.');
+        const auto id = parse_attempt_id(name);
+        if (!id)
+        {
+            respond(exchange, to_api_error(id.error(), run_state::not_run));
+            return;
+        }
+        const auto record = this->context->attempts.find(*id);
+        if (!record)
+        {
+            respond(exchange, to_api_error(record.error(), run_state::unknown));
+            return;
+        }
+        const nlohmann::json body{{"attempt", to_text(*id)},
+                                  {"ended", record->ended},
+                                  {"run", to_string(record->run)}};
+        exchange.respond(200, {{"Content-Type", "application/json"}}, body.dump());
+    }
+
     void beat()
     {
+        if (this->context->settings.backend.kind == backend_kind::service)
+        {
+            this->context->backend_ready = true;
+        }
+        else
+        {
+            this->context->reconcile();
+        }
         std::unique_lock hold(this->mutex);
         while (!this->stopping)
         {
             this->wake.wait_for(hold, heartbeat_interval);
             hold.unlock();
-            this->context->beat();
+            if (!this->context->backend_ready)
+            {
+                this->context->reconcile();
+            }
+            this->context->leases.beat();
             this->context->attempts.forget_before(this->context->time.now() -
                                                   outcome_retention);
             hold.lock();
--- a/src/daemon/agent_context.cpp
+++ b/src/daemon/agent_context.cpp
@@ -1,39 +1,17 @@
 #include <daemon/agent_context.hpp>
 
+#include <nlohmann/json.hpp>
+
 namespace agateseam
 {
 
-bool attempt_table::begin(const attempt_id& id, time_point now)
+namespace
 {
-    const std::scoped_lock hold(this->mutex);
-    return this->records.emplace(id, attempt_record{false, run_state::unknown, now})
-        .second;
-}
 
-void attempt_table::end(const attempt_id& id, run_state run, time_point now)
-{
-    const std::scoped_lock hold(this->mutex);
-    this->records[id] = {true, run, now};
-}
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
 
-result<attempt_record> attempt_table::find(const attempt_id& id) const
-{
-    const std::scoped_lock hold(this->mutex);
-    const auto found = this->records.find(id);
-    if (found == this->records.end())
-    {
-        return fail(error_code::not_found, "find attempt", "",
-                    "no such attempt is known");
-    }
-    return found->second;
-}
-
-void attempt_table::forget_before(time_point limit)
-{
-    const std::scoped_lock hold(this->mutex);
-    std::erase_if(this->records, [&](const auto& item)
-                  { return item.second.ended && item.second.when < limit; });
-}
+} // namespace
 
 result<std::unique_ptr<agent_context>>
 agent_context::create(const daemon_settings& settings)
@@ -56,7 +34,7 @@
     std::uint32_t held = this->used.load();
     do
     {
-        if (held >= this->settings.backend.slots || this->leaving)
+        if (held >= this->settings.backend.slots || this->leaving || !this->backend_ready)
         {
             return false;
         }
@@ -69,6 +47,62 @@
     --this->used;
 }
 
+bool agent_context::lapsed(const attempt_id& id) const
+{
+    const auto record = this->attempts.find(id);
+    return record && !record->ended &&
+           this->time.now() - record->when > this->settings.limits.lease;
+}
+
+void agent_context::note_backend(const error& fault)
+{
+    if (fault.code == error_code::unavailable)
+    {
+        this->backend_ready = false;
+    }
+}
+
+void agent_context::reconcile()
+{
+    const bool service = this->settings.backend.kind == backend_kind::service;
+    http_call list;
+    list.url = this->settings.backend.url + (service ? "/healthz" : "/requests");
+    list.step = "reconcile";
+    list.total_timeout = this->settings.limits.silence;
+    this->client->fetch_async(std::move(list),
+                              [this, service](const result<http_reply>& reply)
+                              {
+                                  if (reply && reply->status == status_ok && !service)
+                                  {
+                                      this->cancel_all(reply->body);
+                                  }
+                                  else if (reply &&
+                                           (service || reply->status == status_not_found))
+                                  {
+                                      this->backend_ready = true;
+                                  }
+                              });
+}
+
+void agent_context::cancel_all(const std::string& request_ids)
+{
+    const auto ids = nlohmann::json::parse(request_ids, nullptr, false);
+    if (ids.is_array() && ids.empty())
+    {
+        this->backend_ready = true;
+    }
+    for (const auto& id : ids)
+    {
+        http_call abort;
+        abort.method = "POST";
+        abort.url = this->settings.backend.url + "/abort";
+        abort.step = "reconcile";
+        abort.total_timeout = this->settings.limits.silence;
+        abort.body = nlohmann::json{{"request_id", id}}.dump();
+        this->client->fetch_async(std::move(abort), [](const result<http_reply>&) {});
+    }
+}
+
 load_report agent_context::report()
 {
     load_report report;
@@ -83,7 +117,7 @@
     report.queued = this->waiting;
     report.queued_tokens = this->waiting_tokens;
     report.tokens_per_second = this->settings.backend.tokens_per_second;
-    report.leaving = this->leaving;
+    report.leaving = this->leaving || !this->backend_ready;
     return report;
 }
 
@@ -92,30 +126,4 @@
     return {std::string(headers::load), to_text(this->report())};
 }
 
-void agent_context::listen(std::weak_ptr<heartbeat_listener> listener)
-{
-    const std::scoped_lock hold(this->mutex);
-    this->listeners.push_back(std::move(listener));
-}
-
-void agent_context::beat()
-{
-    std::vector<std::shared_ptr<heartbeat_listener>> alive;
-    {
-        const std::scoped_lock hold(this->mutex);
-        std::erase_if(this->listeners, [](const auto& item) { return item.expired(); });
-        for (const auto& item : this->listeners)
-        {
-            if (auto listener = item.lock())
-            {
-                alive.push_back(std::move(listener));
-            }
-        }
-    }
-    for (const auto& listener : alive)
-    {
-        listener->on_heartbeat();
-    }
-}
-
 } // namespace agateseam
--- a/src/daemon/agent_context.hpp
+++ b/src/daemon/agent_context.hpp
@@ -2,15 +2,12 @@
 #pragma once
 
 #include <atomic>
-#include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <vector>
 
 #include <agateseam/clock.hpp>
 #include <agateseam/request.hpp>
+#include <daemon/attempt_table.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
 #include <net/http_client.hpp>
@@ -18,39 +15,6 @@
 namespace agateseam
 {
 
-/// \brief The outcome of an attempt, kept for a while after its end.
-struct attempt_record
-{
-    bool ended = false;
-    run_state run = run_state::unknown;
-    time_point when; ///< Its begin, then its end.
-};
-
-/// \brief Runs each attempt at most once, and remembers what became of it.
-class attempt_table
-{
-  public:
-    /// \returns whether the attempt is new.
-    [[nodiscard]] bool begin(const attempt_id& id, time_point now);
-    void end(const attempt_id& id, run_state run, time_point now);
-    [[nodiscard]] result<attempt_record> find(const attempt_id& id) const;
-
-    /// \brief Drops the attempts that ended before a time.
-    void forget_before(time_point limit);
-
-  private:
-    mutable std::mutex mutex;
-    std::map<attempt_id, attempt_record> records;
-};
-
-/// \brief A part of an agent's work that wants a call at each heartbeat.
-class heartbeat_listener
-{
-  public:
-    virtual ~heartbeat_listener() = default;
-    virtual void on_heartbeat() = 0;
-};
-
 /// \brief State of one agent; outlives all its attempts.
 class agent_context
 {
@@ -62,18 +26,28 @@
     [[nodiscard]] bool take_slot();
     void release_slot();
 
+    /// \brief Tells whether an attempt's relay has not renewed its lease in time.
+    [[nodiscard]] bool lapsed(const attempt_id& id) const;
+
+    /// \brief Stops taking work while the backend server refuses connections.
+    void note_backend(const error& fault);
+
+    /// \brief Cancels what the engine still runs for an earlier agent process, and sets
+    /// `backend_ready` once it runs nothing.
+    void reconcile();
+
     /// \brief Returns the current load, with the next sequence number.
     [[nodiscard]] load_report report();
     [[nodiscard]] http_header load_header();
 
-    /// \brief Calls the listener at each heartbeat until it is destroyed.
-    void listen(std::weak_ptr<heartbeat_listener> listener);
-    void beat();
-
     daemon_settings settings;
     steady_clock_source time;
     attempt_table attempts;
+    lease_table leases;
     std::atomic<bool> leaving{false};
+    std::atomic<bool> backend_ready{false}; ///< Reachable, and holds nothing from before.
+    std::atomic<std::uint64_t> events_dropped{0}; ///< Of other requests' answers.
+    std::atomic<std::uint64_t> leases_lapsed{0};
     std::atomic<std::uint32_t> waiting{0};        ///< Prefills that wait or run.
     std::atomic<std::uint64_t> waiting_tokens{0}; ///< Their prompt tokens.
     std::atomic<std::size_t> open{0};             ///< Attempts under way.
@@ -82,11 +56,11 @@
   private:
     agent_context() = default;
 
+    void cancel_all(const std::string& request_ids);
+
     std::atomic<std::uint32_t> used{0};
     std::atomic<std::uint64_t> sequence{0};
     std::uint64_t incarnation = 0;
-    std::mutex mutex;
-    std::vector<std::weak_ptr<heartbeat_listener>> listeners;
 };
 
 /// \brief Serves a decode order as a stream: prefill elsewhere, KV transfer, decode here.
--- /dev/null
+++ b/src/daemon/attempt_table.cpp
@@ -0,0 +1,98 @@
+#include <daemon/attempt_table.hpp>
+
+namespace agateseam
+{
+
+bool attempt_table::begin(const attempt_id& id, time_point now)
+{
+    const std::scoped_lock hold(this->mutex);
+    return this->records.emplace(id, attempt_record{false, run_state::unknown, now})
+        .second;
+}
+
+bool attempt_table::renew(const attempt_id& id, time_point now)
+{
+    const std::scoped_lock hold(this->mutex);
+    const auto found = this->records.find(id);
+    if (found == this->records.end() || found->second.ended)
+    {
+        return false;
+    }
+    found->second.when = now;
+    return true;
+}
+
+void attempt_table::end(const attempt_id& id, run_state run, time_point now)
+{
+    const std::scoped_lock hold(this->mutex);
+    attempt_record& record = this->records[id];
+    if (!record.ended)
+    {
+        record = {true, run, now};
+    }
+}
+
+result<attempt_record> attempt_table::find(const attempt_id& id) const
+{
+    const std::scoped_lock hold(this->mutex);
+    const auto found = this->records.find(id);
+    if (found == this->records.end())
+    {
+        return fail(error_code::not_found, "find attempt", "",
+                    "no such attempt is known");
+    }
+    return found->second;
+}
+
+void attempt_table::forget_before(time_point limit)
+{
+    const std::scoped_lock hold(this->mutex);
+    std::erase_if(this->records, [&](const auto& item)
+                  { return item.second.ended && item.second.when < limit; });
+}
+
+void lease_table::add(const attempt_id& id, std::weak_ptr<lease_holder> holder)
+{
+    const std::scoped_lock hold(this->mutex);
+    this->holders[id] = std::move(holder);
+}
+
+void lease_table::beat()
+{
+    std::vector<std::shared_ptr<lease_holder>> alive;
+    {
+        const std::scoped_lock hold(this->mutex);
+        std::erase_if(this->holders,
+                      [](const auto& item) { return item.second.expired(); });
+        for (const auto& [id, item] : this->holders)
+        {
+            if (auto holder = item.lock())
+            {
+                alive.push_back(std::move(holder));
+            }
+        }
+    }
+    for (const auto& holder : alive)
+    {
+        holder->on_heartbeat();
+    }
+}
+
+void lease_table::end(const attempt_id& id)
+{
+    std::shared_ptr<lease_holder> holder;
+    {
+        const std::scoped_lock hold(this->mutex);
+        const auto found = this->holders.find(id);
+        if (found != this->holders.end())
+        {
+            holder = found->second.lock();
+        }
+    }
+    if (holder)
+    {
+        holder->on_end();
+    }
+}
+
+} // namespace agateseam
--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -15,8 +15,20 @@
 
 constexpr int status_ok = 200;
 
+/// Tells whether an engine's id for an answer was made of a request's id.
+bool names_request(std::string_view text, std::string_view id) noexcept
+{
+    const std::size_t at = text.find(id);
+    if (at == std::string_view::npos)
+    {
+        return false;
+    }
+    const std::string_view rest = text.substr(at + id.size());
+    return rest.empty() || rest.front() < '0' || rest.front() > '9';
+}
+
 /// One decode order: holds a slot from its begin to its end.
-class decode_attempt final : public heartbeat_listener,
+class decode_attempt final : public lease_holder,
                              public http_sink,
                              public std::enable_shared_from_this<decode_attempt>
 {
@@ -40,11 +52,15 @@
     decode_attempt(const decode_attempt&) = delete;
     decode_attempt& operator=(const decode_attempt&) = delete;
 
+    [[nodiscard]] const attempt_id& id() const noexcept { return this->order.id; }
+
     void start()
     {
         this->body = json::parse(this->exchange->take_body(), nullptr, false);
-        this->exchange->begin_stream(status_ok, {{"Content-Type", "text/event-stream"},
-                                                 this->context->load_header()});
+        this->exchange->begin_stream(
+            status_ok, {{"Content-Type", "text/event-stream"},
+                        {std::string(headers::answer), to_text(this->order.id)},
+                        this->context->load_header()});
         if (!this->body.is_object())
         {
             this->end(run_state::not_run, {error_code::invalid, "decode", "",
@@ -63,7 +79,18 @@
         this->start_prefill();
     }
 
-    void on_heartbeat() override { this->exchange->write(stream_heartbeat); }
+    void on_heartbeat() override
+    {
+        if (this->context->lapsed(this->order.id))
+        {
+            ++this->context->leases_lapsed;
+            this->give_up();
+        }
+        this->exchange->write(stream_heartbeat);
+        this->abort_again();
+    }
+
+    void on_end() override { this->give_up(); }
 
     void on_head(int status, const std::vector<http_header>&) override
     {
@@ -96,6 +123,7 @@
         }
         else if (!outcome)
         {
+            this->context->note_backend(outcome.error());
             this->end(run_state::ran, outcome.error());
         }
         else
@@ -108,10 +136,7 @@
     }
 
   private:
-    [[nodiscard]] std::string engine_id() const
-    {
-        return this->order.id.request + "." + std::to_string(this->order.id.attempt);
-    }
+    [[nodiscard]] std::string engine_id() const { return to_text(this->order.id); }
 
     /// Starts the next call, unless the relay has gone meanwhile.
     template <typename Start>
@@ -211,14 +236,17 @@
 
     void relay_chunk(const server_sent_event& event)
     {
-        const json chunk = json::parse(event.data);
+        json chunk = json::parse(event.data);
+        if (this->crossed(chunk))
+        {
+            ++this->context->events_dropped;
+            return;
+        }
         const json usage = chunk.value("usage", json());
         const json choices = chunk.value("choices", json::array());
         if (!choices.empty())
         {
-            this->delivered += carries_token(choices[0]) ? 1 : 0;
-            const std::string number = std::to_string(this->delivered);
-            this->exchange->write(to_text({"", number, event.data}));
+            this->relay_choice(chunk, choices[0]);
         }
         if (usage.is_object())
         {
@@ -226,12 +254,40 @@
         }
     }
 
+    /// Tells whether a chunk answers another request.
+    [[nodiscard]] bool crossed(const json& chunk) const
+    {
+        return this->context->settings.backend.echoes_request_id &&
+               !names_request(chunk.value("id", ""), this->engine_id());
+    }
+
+    /// One id stands over the whole answer, also after a resumption.
+    void relay_choice(json& chunk, const json& choice)
+    {
+        const bool token = carries_token(choice);
+        const bool last = choice.value("finish_reason", json()).is_string();
+        if (!token && !last && this->order.resume_from > 0)
+        {
+            return;
+        }
+        this->delivered += token ? 1 : 0;
+        chunk["id"] = this->order.id.request;
+        const std::string_view name = last ? "finish" : "";
+        const std::string number = token ? this->event_id() : "";
+        this->exchange->write(to_text({name, number, chunk.dump()}));
+    }
+
+    [[nodiscard]] std::string event_id() const
+    {
+        return std::to_string(this->order.id.attempt) + "." +
+               std::to_string(this->delivered);
+    }
+
     void relay_usage(json usage)
     {
         usage["prompt_tokens_details"] =
             this->prefill_usage.value("prompt_tokens_details", json::object());
-        const std::string number = std::to_string(this->delivered);
-        this->exchange->write(to_text({"usage", number, usage.dump()}));
+        this->exchange->write(to_text({"usage", "", usage.dump()}));
     }
 
     [[nodiscard]] static bool carries_token(const json& choice)
@@ -244,14 +300,19 @@
         return !delta.value("content", "").empty();
     }
 
-    /// The relay has gone: whatever runs for it is cancelled.
+    /// Nobody wants the outcome: whatever runs for it is cancelled.
     void give_up()
     {
         http_client::call_id running = 0;
         {
             const std::scoped_lock hold(this->mutex);
+            if (this->given_up)
+            {
+                return;
+            }
             this->given_up = true;
             running = this->call;
+            this->kept_alive = this->shared_from_this();
         }
         this->context->attempts.end(this->order.id, run_state::ran,
                                     this->context->time.now());
@@ -262,23 +323,55 @@
         }
     }
 
+    /// Keeps the slot until the engine has confirmed that it holds nothing.
+    void abort_again()
+    {
+        bool due = false;
+        {
+            const std::scoped_lock hold(this->mutex);
+            due = this->kept_alive && !this->abort_under_way;
+        }
+        if (due)
+        {
+            this->abort_at_engine();
+        }
+    }
+
     void abort_at_engine()
     {
+        {
+            const std::scoped_lock hold(this->mutex);
+            this->abort_under_way = true;
+        }
         http_call abort;
         abort.method = "POST";
         abort.url = this->context->settings.backend.url + "/abort";
         abort.step = "cancel";
         abort.total_timeout = this->context->settings.limits.silence;
+        abort.fresh_connection = true;
         abort.body = json{{"request_id", this->engine_id()}}.dump();
         this->context->client->fetch_async(
             std::move(abort),
             [self = this->shared_from_this()](const result<http_reply>& reply)
-            {
-                if (!reply)
-                {
-                    log_error("cancel failed", reply.error());
-                }
-            });
+            { self->on_aborted(reply); });
+    }
+
+    /// An engine that refuses connections has gone, and its memory with it.
+    void on_aborted(const result<http_reply>& reply)
+    {
+        const bool confirmed = reply || reply.error().code == error_code::unavailable ||
+                               reply.error().code == error_code::cancelled;
+        if (!reply)
+        {
+            log_error("cancel failed", reply.error());
+        }
+        std::shared_ptr<decode_attempt> released;
+        const std::scoped_lock hold(this->mutex);
+        this->abort_under_way = false;
+        if (confirmed)
+        {
+            released.swap(this->kept_alive);
+        }
     }
 
     void end(run_state run, const error& fault)
@@ -304,6 +397,8 @@
     bool complete = false;
     std::mutex mutex;
     bool given_up = false;
+    bool abort_under_way = false;
+    std::shared_ptr<decode_attempt> kept_alive; ///< From giving up to the confirmation.
     http_client::call_id call = 0;
 };
 
@@ -322,7 +417,7 @@
     }
     auto attempt =
         std::make_shared<decode_attempt>(context, std::move(exchange), std::move(order));
-    context.listen(attempt);
+    context.leases.add(attempt->id(), attempt);
     attempt->start();
 }
 
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -10,6 +10,7 @@
 #include <daemon/config_controller.hpp>
 #include <daemon/entry_context.hpp>
 #include <daemon/member_controller.hpp>
+#include <daemon/renewal_controller.hpp>
 
 namespace agateseam
 {
@@ -37,6 +38,7 @@
         {
             this->operator_worker.join();
         }
+        this->renewals.reset();
         this->config.reset();
         this->members.reset();
         this->server.reset();
@@ -49,6 +51,7 @@
     {
         this->config = std::make_unique<config_controller>(*this->context);
         this->members = std::make_unique<member_controller>(*this->context);
+        this->renewals = std::make_unique<renewal_controller>(*this->context);
         this->operator_worker = std::thread([this] { this->serve_operators(); });
         auto created = http_server::create(this->context->settings.listen, *this);
         if (!created)
@@ -133,7 +136,8 @@
     [[nodiscard]] std::string metrics() const
     {
         return "# TYPE agateseam_requests_open gauge\nagateseam_requests_open " +
-               std::to_string(this->context->open) + "\n";
+               std::to_string(this->context->open) + "\n" +
+               to_text(this->context->counters);
     }
 
     void list_models(http_exchange& exchange) const
@@ -189,6 +193,7 @@
     std::unique_ptr<entry_context> context;
     std::unique_ptr<config_controller> config;
     std::unique_ptr<member_controller> members;
+    std::unique_ptr<renewal_controller> renewals;
     std::unique_ptr<http_server> server;
     std::mutex mutex;
     std::condition_variable wake;
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -5,6 +5,13 @@
 namespace agateseam
 {
 
+namespace
+{
+
+constexpr std::uint32_t retries_saved = 100;
+
+} // namespace
+
 std::unique_ptr<const configuration_view> configuration_view::create(configuration taken,
                                                                      std::string document)
 {
@@ -49,6 +56,12 @@
     }
     context->allowance = std::move(*allowance);
     context->placer = make_least_load_placement();
+    auto retries = retry_budget::create(settings.limits.retry_ratio, retries_saved);
+    if (!retries)
+    {
+        return tl::unexpected<error>(retries.error());
+    }
+    context->retries = std::move(*retries);
     return context;
 }
 
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -13,8 +13,11 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
+#include <agateseam/retry_budget.hpp>
 #include <agateseam/static_admission.hpp>
 #include <daemon/messages.hpp>
+#include <daemon/open_attempts.hpp>
+#include <daemon/path_counters.hpp>
 #include <daemon/settings.hpp>
 #include <net/http_client.hpp>
 
@@ -70,6 +73,9 @@
     std::unique_ptr<object_store> store;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
+    std::unique_ptr<retry_budget> retries;
+    open_attempts attempts;
+    path_counters counters;
     std::atomic<bool> leaving{false};
     std::atomic<std::size_t> open{0}; ///< Requests under way.
 
--- a/src/daemon/messages.cpp
+++ b/src/daemon/messages.cpp
@@ -1,5 +1,7 @@
 #include <daemon/messages.hpp>
 
+#include <charconv>
+
 #include <nlohmann/json.hpp>
 
 namespace agateseam
@@ -45,6 +47,31 @@
     return error_code::internal;
 }
 
+json names_of(const std::vector<attempt_id>& ids)
+{
+    json names = json::array();
+    for (const attempt_id& id : ids)
+    {
+        names.push_back(to_text(id));
+    }
+    return names;
+}
+
+result<std::vector<attempt_id>> ids_of(const json& names)
+{
+    std::vector<attempt_id> ids;
+    for (const json& name : names)
+    {
+        auto id = parse_attempt_id(name.get_ref<const std::string&>());
+        if (!id)
+        {
+            return tl::unexpected<error>(id.error());
+        }
+        ids.push_back(std::move(*id));
+    }
+    return ids;
+}
+
 run_state run_named(std::string_view name) noexcept
 {
     if (name == "not_run")
@@ -56,6 +83,62 @@
 
 } // namespace
 
+std::string to_text(const attempt_id& id)
+{
+    return id.request + "." + std::to_string(id.attempt);
+}
+
+result<attempt_id> parse_attempt_id(std::string_view text)
+{
+    const std::size_t dot = text.rfind('.');
+    attempt_id id;
+    if (dot != std::string_view::npos && dot > 0)
+    {
+        id.request = text.substr(0, dot);
+        const char* const end = text.data() + text.size();
+        const auto read = std::from_chars(text.data() + dot + 1, end, id.attempt);
+        if (read.ec == std::errc() && read.ptr == end && id.attempt > 0)
+        {
+            return id;
+        }
+    }
+    return fail(error_code::invalid, "read attempt", "",
+                "an attempt is named REQUEST.ATTEMPT");
+}
+
+std::string to_text(const lease_order& order)
+{
+    return json{{"renew", names_of(order.renew)}, {"end", names_of(order.end)}}.dump();
+}
+
+result<lease_order> parse_lease_order(std::string_view text)
+{
+    return parse_message<lease_order>(
+        text, "read leases",
+        [](const json& source) -> result<lease_order>
+        {
+            auto renew = ids_of(source.at("renew"));
+            auto end = ids_of(source.at("end"));
+            if (!renew || !end)
+            {
+                return tl::unexpected<error>(renew ? end.error() : renew.error());
+            }
+            return lease_order{std::move(*renew), std::move(*end)};
+        });
+}
+
+std::string lease_reply_text(const std::vector<attempt_id>& unknown)
+{
+    return json{{"unknown", names_of(unknown)}}.dump();
+}
+
+result<std::vector<attempt_id>> parse_lease_reply(std::string_view text)
+{
+    return parse_message<std::vector<attempt_id>>(
+        text, "read leases",
+        [](const json& source) { return ids_of(source.at("unknown")); });
+}
+
 std::string to_text(const attempt_order& order)
 {
     return json{{"request", order.id.request},
--- a/src/daemon/messages.hpp
+++ b/src/daemon/messages.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <agateseam/error.hpp>
 #include <agateseam/request.hpp>
@@ -19,8 +20,28 @@
 inline constexpr std::string_view attempt = "x-agateseam-attempt"; ///< attempt_order.
 inline constexpr std::string_view load = "x-agateseam-load";       ///< load_report.
 inline constexpr std::string_view run = "x-agateseam-run";         ///< run_state.
+inline constexpr std::string_view answer =
+    "x-agateseam-answer"; ///< attempt_id that a stream answers.
 } // namespace headers
 
+/// \brief Returns "REQUEST.ATTEMPT".
+[[nodiscard]] std::string to_text(const attempt_id& id);
+[[nodiscard]] result<attempt_id> parse_attempt_id(std::string_view text);
+
+/// \brief An entry's word on the leases of its attempts at one agent.
+struct lease_order
+{
+    std::vector<attempt_id> renew;
+    std::vector<attempt_id> end; ///< Whose outcome is no longer wanted.
+};
+
+[[nodiscard]] std::string to_text(const lease_order& order);
+[[nodiscard]] result<lease_order> parse_lease_order(std::string_view text);
+
+/// \brief Returns the agent's answer: those of the renewed that it does not run.
+[[nodiscard]] std::string lease_reply_text(const std::vector<attempt_id>& unknown);
+[[nodiscard]] result<std::vector<attempt_id>> parse_lease_reply(std::string_view text);
+
 /// \brief An entry's order to an agent; the caller's body goes beside it unchanged.
 struct attempt_order
 {
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -1,5 +1,6 @@
 #include <daemon/entry_context.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <mutex>
 
@@ -7,6 +8,7 @@
 
 #include <daemon/api_error.hpp>
 #include <daemon/model_request_parts.hpp>
+#include <daemon/renewal_controller.hpp>
 #include <daemon/server_sent_events.hpp>
 
 namespace agateseam
@@ -21,8 +23,26 @@
 constexpr int status_ok = 200;
 constexpr std::size_t slow_caller_limit = 1 << 20; // bytes that wait to be sent
 
+/// Reads the token's number from "ATTEMPT.NUMBER"; nothing when of another attempt.
+std::optional<std::uint32_t> parse_token_number(std::string_view text,
+                                                std::uint32_t attempt) noexcept
+{
+    const char* const end = text.data() + text.size();
+    std::uint32_t first = 0;
+    std::uint32_t second = 0;
+    const auto head = std::from_chars(text.data(), end, first);
+    if (head.ec != std::errc() || head.ptr == end || *head.ptr != '.' || first != attempt)
+    {
+        return std::nullopt;
+    }
+    const auto tail = std::from_chars(head.ptr + 1, end, second);
+    const bool whole = tail.ec == std::errc() && tail.ptr == end;
+    return whole ? std::optional(second) : std::nullopt;
+}
+
 /// One caller's request: its attempts, one after the other, and the answer's relay.
 class model_request final : public http_sink,
+                            public attempt_owner,
                             public std::enable_shared_from_this<model_request>
 {
   public:
@@ -59,6 +79,7 @@
             return;
         }
         this->id = this->context->next_request_id();
+        this->context->retries->earn();
         this->deadline =
             this->context->time.now() + this->context->settings.limits.first_token;
         this->body = this->exchange->take_body();
@@ -78,27 +99,42 @@
     {
         this->agent_status = status;
         this->context->note_load(head);
+        const auto answers =
+            std::find_if(head.begin(), head.end(),
+                         [](const auto& item) { return item.first == headers::answer; });
+        this->crossed =
+            status == status_ok &&
+            (answers == head.end() || answers->second != to_text(this->current()));
     }
 
     [[nodiscard]] bool on_data(std::string_view data) override
     {
         if (this->agent_status != status_ok)
         {
-            this->refusal.append(data);
             return true;
         }
+        if (this->crossed)
+        {
+            ++this->context->counters.events_dropped;
+            return false;
+        }
         this->events.feed(data);
         while (const auto event = this->events.next())
         {
-            this->take(*event);
+            if (!this->take(*event))
+            {
+                return false;
+            }
         }
         return !this->exchange->gone();
     }
 
     void on_done(const result<void>& outcome) override
     {
+        this->context->attempts.remove(this->current());
         if (this->exchange->gone())
         {
+            this->end_at_agent();
             this->settle();
         }
         else if (this->complete)
@@ -109,9 +145,16 @@
         {
             this->try_again(*this->failure);
         }
+        else if (!outcome && outcome.error().code == error_code::timeout)
+        {
+            this->probe(outcome.error());
+        }
         else if (!outcome)
         {
-            this->try_again({run_state::unknown, outcome.error()});
+            this->end_at_agent();
+            const bool refused = outcome.error().code == error_code::unavailable;
+            this->try_again(
+                {refused ? run_state::not_run : run_state::unknown, outcome.error()});
         }
         else
         {
@@ -122,7 +165,54 @@
         }
     }
 
+    void on_lost() override
+    {
+        ++this->context->counters.attempts_lost;
+        http_client::call_id running = 0;
+        {
+            const std::scoped_lock hold(this->mutex);
+            running = this->call_id;
+        }
+        this->context->client->cancel(running);
+    }
+
   private:
+    [[nodiscard]] attempt_id current() const { return {this->id, this->attempt}; }
+
+    void end_at_agent()
+    {
+        end_attempt(*this->context, this->decode_address, this->current());
+    }
+
+    /// A silent stream is no verdict on its server: asks it over a new connection.
+    void probe(const error& silence)
+    {
+        ++this->context->counters.streams_silent;
+        http_call call;
+        call.url = "http://" + this->decode_address + "/agent/attempts/" + this->id +
+                   "/" + std::to_string(this->attempt);
+        call.step = "probe";
+        call.total_timeout = this->context->settings.limits.silence;
+        call.fresh_connection = true;
+        call.headers = {
+            {std::string(headers::fleet), this->context->settings.fleet_secret}};
+        this->context->client->fetch_async(
+            std::move(call),
+            [self = this->shared_from_this(), silence](const result<http_reply>& reply)
+            {
+                self->end_at_agent();
+                self->try_again({run_state::unknown, silence},
+                                reply ? verdict::alive : verdict::suspect);
+            });
+    }
+
+    /// Whether the agent of a failed attempt may be asked again.
+    enum class verdict : std::uint8_t
+    {
+        alive,
+        suspect
+    };
+
     void refuse(const api_error& refused) { respond(*this->exchange, refused); }
 
     /// Finds the pool that serves the model and that the workspace may use.
@@ -206,6 +296,7 @@
     {
         ++this->attempt;
         this->decode_vm = choice.decode->vm;
+        this->decode_address = choice.decode->address;
         this->prefill_vm = choice.prefill->vm;
         attempt_order order;
         order.id = {this->id, this->attempt};
@@ -236,18 +327,22 @@
     {
         this->events = {};
         this->failure.reset();
-        this->refusal.clear();
+        this->crossed = false;
         const std::scoped_lock hold(this->mutex);
         if (this->given_up)
         {
             this->settle();
             return;
         }
+        this->context->attempts.add(this->decode_address, this->current(),
+                                    this->weak_from_this());
         this->call_id =
             this->context->client->start(std::move(call), this->shared_from_this());
     }
 
-    void take(const server_sent_event& event)
+    /// \returns false when the attempt cannot go on.
+    [[nodiscard]] bool take(const server_sent_event& event)
+    try
     {
         if (event.data == stream_end)
         {
@@ -263,34 +358,68 @@
         }
         else
         {
-            this->relay(event);
+            return this->take_choice(event);
         }
+        return true;
+    }
+    catch (const json::exception& fault)
+    {
+        this->failure = attempt_failure{
+            run_state::ran,
+            {error_code::broken, "decode", this->decode_vm, fault.what()}};
+        return false;
     }
 
-    void relay(const server_sent_event& event)
+    /// Passes each token on once and in order, and the answer's last chunk once.
+    [[nodiscard]] bool take_choice(const server_sent_event& event)
     {
-        std::uint32_t number = 0;
-        std::from_chars(event.id.data(), event.id.data() + event.id.size(), number);
-        const bool fresh = number > this->delivered;
-        if (fresh)
-        {
-            const std::uint32_t count = number - this->delivered;
-            this->delivered = number;
-            this->context->allowance->deliver(this->workspace, count);
-            this->reserved -= count;
-        }
-        if (this->parts.stream)
+        if (!event.id.empty())
         {
-            this->begin_stream();
-            const std::size_t waiting =
-                this->exchange->write(to_text({"", "", event.data}));
-            if (waiting > slow_caller_limit)
+            const auto number = parse_token_number(event.id, this->attempt);
+            if (!number || *number <= this->delivered)
+            {
+                ++this->context->counters.events_dropped;
+                return true;
+            }
+            if (*number > this->delivered + 1)
             {
-                this->exchange->abort();
+                ++this->context->counters.event_gaps;
+                this->failure = attempt_failure{run_state::ran,
+                                                {error_code::broken, "decode",
+                                                 this->decode_vm, "a token is missing"}};
+                return false;
             }
+            this->deliver_token();
+        }
+        else if (event.name == "finish" && this->finished)
+        {
+            return true;
+        }
+        this->finished = this->finished || event.name == "finish";
+        this->relay(event);
+        return true;
+    }
+
+    void deliver_token()
+    {
+        ++this->delivered;
+        this->context->allowance->deliver(this->workspace, 1);
+        this->reserved -= 1;
+    }
+
+    void relay(const server_sent_event& event)
+    {
+        if (!this->parts.stream)
+        {
+            this->gather(event.data);
             return;
         }
-        this->gather(event.data);
+        this->begin_stream();
+        const std::size_t waiting = this->exchange->write(to_text({"", "", event.data}));
+        if (waiting > slow_caller_limit)
+        {
+            this->exchange->abort();
+        }
     }
 
     void begin_stream()
@@ -333,8 +462,23 @@
                  std::to_string(std::llround(this->remaining))}};
     }
 
+    /// The engine of a resumed answer counted only what it produced itself.
+    void complete_usage()
+    {
+        if (!this->usage.is_object() || this->attempt == 1)
+        {
+            return;
+        }
+        const json prompt = this->usage.value("prompt_tokens", json());
+        const auto counted =
+            prompt.is_number_unsigned() ? prompt.get<std::uint64_t>() : 0;
+        this->usage["completion_tokens"] = this->delivered;
+        this->usage["total_tokens"] = counted + this->delivered;
+    }
+
     void finish()
     {
+        this->complete_usage();
         this->settle();
         if (this->parts.stream)
         {
@@ -388,29 +532,53 @@
     }
 
     /// A model request may be repeated: what was delivered is never produced again.
-    void try_again(const attempt_failure& failed)
+    void try_again(const attempt_failure& failed, verdict agent = verdict::suspect)
     {
         log_error("attempt failed", failed.fault,
                   {{"request", std::string_view(this->id)},
                    {"workspace", std::string_view(this->workspace)},
                    {"attempt", std::int64_t{this->attempt}}});
         this->maybe_run = this->maybe_run || failed.run != run_state::not_run;
-        this->exclude(failed.fault);
+        if (agent == verdict::suspect)
+        {
+            this->exclude(failed.fault);
+        }
+        if (this->exchange->gone())
+        {
+            this->settle();
+            return;
+        }
         const bool late =
             this->context->time.now() >= this->deadline && this->delivered == 0;
-        if (this->attempt >= this->context->settings.limits.attempts || late)
+        if (this->attempt >= this->context->settings.limits.attempts || late ||
+            !this->take_retry(failed))
         {
             this->give_answer(to_api_error(failed.fault, this->run_so_far()));
             return;
         }
         if (this->delivered > 0)
         {
+            ++this->context->counters.resumed;
             this->deadline =
                 this->context->time.now() + this->context->settings.limits.first_token;
         }
         this->next_attempt();
     }
 
+    /// A refusal for want of a slot cost nothing and needs no budget.
+    [[nodiscard]] bool take_retry(const attempt_failure& failed)
+    {
+        ++this->context->counters.retries;
+        const bool free = failed.run == run_state::not_run &&
+                          failed.fault.code == error_code::exhausted;
+        if (free || this->context->retries->take())
+        {
+            return true;
+        }
+        ++this->context->counters.retries_refused;
+        return false;
+    }
+
     void exclude(const error& fault)
     {
         this->excluded.push_back(fault.step == "prefill" ? this->prefill_vm
@@ -476,13 +644,15 @@
 
     std::uint32_t attempt = 0;
     std::string decode_vm;
+    std::string decode_address;
     std::string prefill_vm;
     std::vector<std::string> excluded;
     bool maybe_run = false;
 
     int agent_status = 0;
+    bool crossed = false;  ///< The answer is to another attempt.
+    bool finished = false; ///< The answer's last chunk has been passed on.
     event_splitter events;
-    std::string refusal;
     std::optional<attempt_failure> failure;
     bool complete = false;
     std::uint32_t delivered = 0;
--- a/src/daemon/prefill_attempt.cpp
+++ b/src/daemon/prefill_attempt.cpp
@@ -44,6 +44,8 @@
         json body = json::parse(this->exchange->take_body(), nullptr, false);
         if (!body.is_object())
         {
+            this->context->attempts.end(this->order.id, run_state::not_run,
+                                        this->context->time.now());
             respond(*this->exchange, to_api_error({error_code::invalid, "prefill", "",
                                                    "the body is not a JSON object"},
                                                   run_state::not_run));
@@ -57,8 +59,7 @@
         call.step = "prefill";
         call.total_timeout = this->order.deadline;
         call.headers = {{"Content-Type", "application/json"},
-                        {"x-request-id", this->order.id.request + "." +
-                                             std::to_string(this->order.id.attempt)}};
+                        {"x-request-id", to_text(this->order.id)}};
         call.body = body.dump();
         const auto running = this->context->client->fetch_async(
             std::move(call), [self = this->shared_from_this()](result<http_reply> reply)
@@ -70,12 +71,16 @@
   private:
     void on_reply(result<http_reply> reply)
     {
+        this->context->attempts.end(this->order.id,
+                                    reply ? run_state::ran : run_state::unknown,
+                                    this->context->time.now());
         if (!reply || reply->status != status_ok)
         {
-            const error fault = reply ? error{error_code::unavailable, "prefill",
+            const error fault = reply ? error{error_code::exhausted, "prefill",
                                               this->context->settings.backend.url,
                                               "the engine refused the prefill"}
                                       : reply.error();
+            this->context->note_backend(fault);
             respond(*this->exchange, to_api_error(fault, run_state::not_run));
             return;
         }
--- a/src/daemon/service_attempt.cpp
+++ b/src/daemon/service_attempt.cpp
@@ -67,6 +67,7 @@
             const bool begun = reply.error().code != error_code::unavailable;
             const run_state run = begun ? run_state::unknown : run_state::not_run;
             this->context->attempts.end(this->order.id, run, this->context->time.now());
+            this->context->note_backend(reply.error());
             respond(*this->exchange, to_api_error(reply.error(), run));
             return;
         }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -95,6 +95,7 @@
     backend.link_tokens_per_second =
         section.number("link_tokens_per_second", 1, 1e12, 400'000.0);
     backend.checks_generation = section.boolean("checks_generation", true);
+    backend.echoes_request_id = section.boolean("echoes_request_id", true);
     if (!backend.url.starts_with("http://") && !backend.url.starts_with("https://"))
     {
         section.fault("url", "must begin with http:// or https://");
@@ -111,6 +112,9 @@
         milliseconds(section.integer("first_token_ms", 10, longest_ms, 30'000));
     limits.silence = milliseconds(section.integer("silence_ms", 200, longest_ms, 2'000));
     limits.drain = milliseconds(section.integer("drain_ms", 0, longest_ms, 30'000));
+    limits.lease = milliseconds(section.integer("lease_ms", 1'000, longest_ms, 3'000));
+    limits.linger = milliseconds(section.integer("linger_ms", 0, longest_ms, 3'000));
+    limits.retry_ratio = section.number("retry_ratio", 0, 1, 0.2);
     limits.attempts = static_cast<std::uint32_t>(section.integer("attempts", 1, 10, 3));
     limits.output_tokens =
         static_cast<std::uint32_t>(section.integer("output_tokens", 1, 1'000'000, 4'096));
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -32,6 +32,7 @@
     double tokens_per_second = 20'000;       ///< Prefill rate before any was observed.
     double link_tokens_per_second = 400'000; ///< KV cache that the link carries.
     bool checks_generation = true;           ///< Whether it refuses old orders itself.
+    bool echoes_request_id = true;           ///< Whether its answers' ids contain ours.
 };
 
 /// \brief Limits on what callers may do and how long things may take.
@@ -41,7 +42,10 @@
     std::chrono::milliseconds first_token{30'000};
     std::chrono::milliseconds silence{2'000}; ///< Of a stream between our processes.
     std::chrono::milliseconds drain{30'000};  ///< From SIGTERM to the end.
+    std::chrono::milliseconds lease{3'000};   ///< Of an attempt that is not renewed.
+    std::chrono::milliseconds linger{3'000};  ///< Listening on after SIGTERM.
     std::uint32_t attempts = 3;               ///< Tries of one request.
+    double retry_ratio = 0.2;                 ///< Retries that a request earns.
     std::uint32_t output_tokens = 4'096;      ///< Cap on a request's max_tokens.
 };
 
