Allowance split over the entries that the platform lists

Cause: each entry held the whole rate and burst of every workspace, so that two entries admitted twice the allowance. Change: the static split takes its number from the platform's list; it admits nothing while that number is unknown or this entry isn't listed yet.

--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -42,7 +42,7 @@
         return tl::unexpected<error>(store.error());
     }
     context->store = std::move(*store);
-    auto allowance = static_admission::create(context->time, 1);
+    auto allowance = static_admission::create(context->time, 0);
     if (!allowance)
     {
         return tl::unexpected<error>(allowance.error());
