Scheduler of one backend server: slot leases, fair queue, link

Cause: agents count slots and refuse when all are held. Nothing queues, nothing is fair between workspaces, no lease ends by itself, and a prefill may start for a slot or a link that isn't there.

Change: fair_queue (start-time fair queueing by tokens) and agent_scheduler (waiting, granted, started, released; promises a used slot only on its latest end; refuses early with a time to come back; holds prefills until the link meets the result's lifetime). No I/O, time as an argument. The daemons don't use it yet.

Tests: properties over interleavings of duplicates, lost calls and pauses.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -1,8 +1,10 @@
 /// The whole public library.
 #pragma once
 
+#include <agateseam/agent_scheduler.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
+#include <agateseam/fair_queue.hpp>
 #include <agateseam/forward_declarations.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -32,4 +32,12 @@
 struct attempt_id;
 struct load_report;
 
+// The work of one backend server.
+class agent_scheduler;
+class fair_queue;
+struct scheduler_load;
+struct scheduler_options;
+struct slot_event;
+struct slot_request;
+
 } // namespace agateseam
--- /dev/null
+++ b/src/core/agent_scheduler.cpp
@@ -0,0 +1,399 @@
+#include <agateseam/agent_scheduler.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+
+namespace agateseam
+{
+
+namespace
+{
+
+constexpr std::string_view step_name = "reserve slot";
+constexpr duration shortest_retry = std::chrono::milliseconds(20);
+
+/// Slots by the time at which each is free, the earliest first.
+using slot_heap =
+    std::priority_queue<time_point, std::vector<time_point>, std::greater<>>;
+
+time_point take_earliest(slot_heap& slots)
+{
+    const time_point earliest = slots.top();
+    slots.pop();
+    return earliest;
+}
+
+} // namespace
+
+result<agent_scheduler> agent_scheduler::create(const scheduler_options& options)
+{
+    if (options.slots == 0 || options.lease_lifetime <= duration{0})
+    {
+        return fail(error_code::invalid, "create scheduler", "",
+                    "slots and lease lifetime must be above 0");
+    }
+    return agent_scheduler(options);
+}
+
+agent_scheduler::agent_scheduler(const scheduler_options& chosen)
+    : options(chosen)
+{
+}
+
+result<duration> agent_scheduler::submit(const slot_request& request, time_point now)
+{
+    if (this->draining)
+    {
+        return fail(error_code::unavailable, step_name, "", "the agent is leaving");
+    }
+    if (this->records.contains(request.id))
+    {
+        return fail(error_code::conflict, step_name, "", "the attempt is known");
+    }
+    if (this->queue.size() >= this->options.queue_limit)
+    {
+        return fail(error_code::exhausted, step_name, "", "the queue is full");
+    }
+    record& added = this->records[request.id];
+    added.request = request;
+    ++this->count(phase::waiting);
+    this->queue.push(request.workspace, request.weight, request.tokens, request.id);
+    time_point start = now;
+    for (const forecast& item : this->rehearse(now))
+    {
+        start = item.id == request.id ? item.start : start;
+    }
+    if (start > request.deadline)
+    {
+        this->release(request.id, 0);
+        return fail(error_code::timeout, step_name, "", "no slot can be had in time");
+    }
+    return start - now;
+}
+
+bool agent_scheduler::start(const attempt_id& id, time_point now)
+{
+    const auto found = this->records.find(id);
+    if (found == this->records.end() || found->second.state != phase::reserved)
+    {
+        return false;
+    }
+    this->move_to(found->second, phase::arriving);
+    found->second.arrival = ++this->arrivals;
+    found->second.expires = now + this->options.lease_lifetime;
+    return true;
+}
+
+bool agent_scheduler::renew(const attempt_id& id, time_point now)
+{
+    const auto found = this->records.find(id);
+    if (found == this->records.end() ||
+        (found->second.state != phase::waiting && found->second.expires < now))
+    {
+        return false;
+    }
+    found->second.expires = now + this->options.lease_lifetime;
+    return true;
+}
+
+void agent_scheduler::progress(const attempt_id& id, duration expected, duration longest,
+                               time_point now)
+{
+    const auto found = this->records.find(id);
+    if (found != this->records.end() && found->second.state == phase::running)
+    {
+        found->second.expected_end = now + expected;
+        found->second.latest_end = now + longest;
+    }
+}
+
+void agent_scheduler::release(const attempt_id& id, double used)
+{
+    const auto found = this->records.find(id);
+    if (found == this->records.end())
+    {
+        return;
+    }
+    const slot_request& request = found->second.request;
+    if (found->second.state == phase::waiting)
+    {
+        this->queue.remove(request.workspace, id);
+    }
+    else
+    {
+        this->queue.settle(request.workspace, request.weight, used - request.tokens);
+    }
+    --this->count(found->second.state);
+    this->records.erase(found);
+}
+
+std::vector<slot_event> agent_scheduler::advance(time_point now)
+{
+    std::vector<slot_event> events;
+    this->end_lapsed(now, events);
+    this->start_arrived(now, events);
+    this->grant_waiting(now, events);
+    this->refuse_late(now, events);
+    return events;
+}
+
+time_point agent_scheduler::next_wake(time_point now) const
+{
+    time_point next = now + this->options.lease_lifetime;
+    for (const auto& [id, item] : this->records)
+    {
+        next = std::min(next, item.state == phase::waiting ? item.request.deadline
+                                                           : item.expires);
+    }
+    if (const auto head = this->queue.front())
+    {
+        next = std::min(next, this->grant_time(this->records.at(*head), now));
+    }
+    return std::max(next, now);
+}
+
+duration agent_scheduler::retry_after(time_point now) const
+{
+    return std::max(shortest_retry, this->next_expected_slot(now) - now);
+}
+
+scheduler_load agent_scheduler::load() const
+{
+    scheduler_load load;
+    load.running = this->count(phase::running);
+    load.used =
+        load.running + this->count(phase::reserved) + this->count(phase::arriving);
+    load.queued = this->count(phase::waiting);
+    for (const auto& [id, item] : this->records)
+    {
+        load.queued_tokens += item.request.tokens;
+    }
+    return load;
+}
+
+std::uint32_t& agent_scheduler::count(phase state)
+{
+    return this->counts[static_cast<std::size_t>(state)];
+}
+
+std::uint32_t agent_scheduler::count(phase state) const
+{
+    return this->counts[static_cast<std::size_t>(state)];
+}
+
+void agent_scheduler::move_to(record& item, phase next)
+{
+    --this->count(item.state);
+    item.state = next;
+    ++this->count(next);
+}
+
+void agent_scheduler::run(record& item, time_point now, std::vector<slot_event>& events)
+{
+    this->move_to(item, phase::running);
+    item.expected_end = now + item.request.expected;
+    item.latest_end = now + item.request.longest;
+    events.push_back({slot_event_kind::started, item.request.id, now, duration{0},
+                      error_code::internal});
+}
+
+/// When each slot is thought to be free, reserved ones after their use.
+std::vector<time_point> agent_scheduler::expected_ends(time_point now) const
+{
+    std::vector<time_point> ends;
+    ends.reserve(this->options.slots);
+    std::vector<duration> owed;
+    for (const auto& [id, item] : this->records)
+    {
+        if (item.state == phase::running)
+        {
+            ends.push_back(std::max(now, item.expected_end));
+        }
+        else if (item.state != phase::waiting)
+        {
+            const bool leads = item.state == phase::reserved;
+            owed.push_back(item.request.expected +
+                           (leads ? item.request.lead : duration{0}));
+        }
+    }
+    ends.resize(std::max<std::size_t>(ends.size(), this->options.slots), now);
+    slot_heap slots(std::greater<>{}, std::move(ends));
+    for (const duration use : owed)
+    {
+        slots.push(take_earliest(slots) + use);
+    }
+    std::vector<time_point> free;
+    free.reserve(slots.size());
+    while (!slots.empty())
+    {
+        free.push_back(take_earliest(slots));
+    }
+    return free;
+}
+
+/// The time by which one more slot is free whatever happens, as far as is known.
+time_point agent_scheduler::sure_slot(time_point now) const
+{
+    const std::size_t promised =
+        this->count(phase::reserved) + this->count(phase::arriving);
+    const std::size_t idle = this->options.slots - this->count(phase::running);
+    if (promised < idle)
+    {
+        return now;
+    }
+    std::vector<time_point> ends;
+    for (const auto& [id, item] : this->records)
+    {
+        if (item.state == phase::running && item.latest_end >= now)
+        {
+            ends.push_back(item.latest_end);
+        }
+    }
+    const std::size_t index = promised - idle;
+    if (index >= ends.size())
+    {
+        return time_point::max();
+    }
+    std::nth_element(ends.begin(), ends.begin() + static_cast<std::ptrdiff_t>(index),
+                     ends.end());
+    return ends[index];
+}
+
+/// When the head of the queue may be granted: slot and link both meet its end.
+time_point agent_scheduler::grant_time(const record& head, time_point now) const
+{
+    const time_point slot = this->sure_slot(now);
+    if (slot == time_point::max())
+    {
+        return slot;
+    }
+    const time_point link = this->link_free - this->options.kv_lifetime / 2 -
+                            head.request.lead - head.request.expected;
+    const bool linked = head.request.transfer > duration{0};
+    return std::max(slot - head.request.lead, linked ? link : time_point::min());
+}
+
+std::vector<agent_scheduler::forecast> agent_scheduler::rehearse(time_point now) const
+{
+    slot_heap slots(std::greater<>{}, this->expected_ends(now));
+    time_point link = this->link_free;
+    std::vector<forecast> starts;
+    for (const attempt_id& id : this->queue.order())
+    {
+        const slot_request& request = this->records.at(id).request;
+        time_point start = std::max(slots.top(), now + request.lead);
+        if (request.transfer > duration{0})
+        {
+            start =
+                std::max(start, link - this->options.kv_lifetime / 2 - request.expected);
+            link = std::max(link, start + request.expected) + request.transfer;
+        }
+        starts.push_back({id, start});
+        if (start <= request.deadline)
+        {
+            slots.pop();
+            slots.push(start + request.expected);
+        }
+    }
+    return starts;
+}
+
+time_point agent_scheduler::next_expected_slot(time_point now) const
+{
+    slot_heap slots(std::greater<>{}, this->expected_ends(now));
+    for (const attempt_id& id : this->queue.order())
+    {
+        slots.push(take_earliest(slots) + this->records.at(id).request.expected);
+    }
+    return slots.top();
+}
+
+void agent_scheduler::end_lapsed(time_point now, std::vector<slot_event>& events)
+{
+    std::vector<attempt_id> lapsed;
+    for (const auto& [id, item] : this->records)
+    {
+        if (item.state != phase::waiting && item.expires < now)
+        {
+            lapsed.push_back(id);
+        }
+    }
+    for (const attempt_id& id : lapsed)
+    {
+        this->release(id, this->records.at(id).request.tokens);
+        events.push_back(
+            {slot_event_kind::lapsed, id, now, duration{0}, error_code::timeout});
+    }
+}
+
+void agent_scheduler::start_arrived(time_point now, std::vector<slot_event>& events)
+{
+    while (this->count(phase::arriving) > 0 &&
+           this->count(phase::running) < this->options.slots)
+    {
+        record* first = nullptr;
+        for (auto& [id, item] : this->records)
+        {
+            const bool arrived = item.state == phase::arriving;
+            if (arrived && (first == nullptr || item.arrival < first->arrival))
+            {
+                first = &item;
+            }
+        }
+        this->run(*first, now, events);
+    }
+}
+
+void agent_scheduler::grant_waiting(time_point now, std::vector<slot_event>& events)
+{
+    while (const auto head = this->queue.front())
+    {
+        record& item = this->records.at(*head);
+        if (this->draining || this->grant_time(item, now) > now)
+        {
+            return;
+        }
+        this->queue.pop();
+        const time_point ready = std::max(now, this->sure_slot(now));
+        this->move_to(item, phase::reserved);
+        item.expires = now + this->options.lease_lifetime;
+        if (item.request.transfer > duration{0})
+        {
+            const time_point end = ready + item.request.expected;
+            this->link_free = std::max(this->link_free, end) + item.request.transfer;
+        }
+        events.push_back(
+            {slot_event_kind::granted, *head, ready, duration{0}, error_code::internal});
+    }
+}
+
+void agent_scheduler::refuse_late(time_point now, std::vector<slot_event>& events)
+{
+    if (this->queue.size() == 0)
+    {
+        return;
+    }
+    const std::vector<forecast> starts = this->rehearse(now);
+    for (const forecast& item : starts)
+    {
+        if (this->draining)
+        {
+            this->refuse(item.id, error_code::unavailable, now, events);
+        }
+        else if (item.start > this->records.at(item.id).request.deadline)
+        {
+            this->refuse(item.id, error_code::timeout, now, events);
+        }
+    }
+}
+
+void agent_scheduler::refuse(const attempt_id& id, error_code reason, time_point now,
+                             std::vector<slot_event>& events)
+{
+    this->release(id, 0);
+    events.push_back({slot_event_kind::refused, id, now,
+                      std::max(shortest_retry, this->retry_after(now)), reason});
+}
+
+} // namespace agateseam
