--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -3,8 +3,10 @@
 
 #include <agateseam/admission.hpp>
 #include <agateseam/allowance.hpp>
+#include <agateseam/agent_scheduler.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
+#include <agateseam/fair_queue.hpp>
 #include <agateseam/forward_declarations.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
