Claims: a call that may not be repeated runs at most once

Cause: a caller who repeated a booking after a lost answer had it run again; two entries with one key at once ran it twice.

Outcomes are recorded before the caller is answered and go to repeats for policy.claim_retention seconds.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -1,6 +1,8 @@
 /// The whole public library.
 #pragma once
 
+#include <agateseam/claim.hpp>
+#include <agateseam/claim_ledger.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
 #include <agateseam/forward_declarations.hpp>
--- a/include/agateseam/configuration.hpp
+++ b/include/agateseam/configuration.hpp
@@ -62,6 +62,7 @@
     double first_token_limit = 0.62; ///< Seconds.
     double token_gap_limit = 0.039;  ///< Seconds.
     std::string withdrawn_streams = "finish"; ///< "finish" or "cut".
+    double claim_retention = 3'600; ///< Seconds for which a repeat gets the outcome.
 };
 
 /// \brief One version of the configuration; immutable once made.
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -26,6 +26,15 @@
 struct object_event;
 class object_store;
 
+// Claims on calls that may not be repeated.
+enum class claim_verdict : std::uint8_t;
+struct call_outcome;
+struct claim_order;
+struct claim_answer;
+struct claim_ledger_options;
+class claim_shard;
+class claim_ledger;
+
 // Requests.
 enum class run_state : std::uint8_t;
 enum class backend_kind : std::uint8_t;
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -15,7 +15,10 @@
 constexpr double largest_rate = 1e12; // tokens per second
 constexpr double largest_weight = 1e6;
 constexpr double largest_price = 1e9;
-constexpr double longest_limit = 3'600; // seconds
+constexpr double longest_limit = 3'600;      // seconds
+constexpr double shortest_retention = 600;   // seconds; above any request's limit
+constexpr double longest_retention = 86'400; // seconds
+constexpr double default_retention = 3'600;  // seconds
 
 std::vector<key_record> read_keys(const json& list, const std::string& path,
                                   document_faults& faults)
@@ -87,6 +90,8 @@
         section.number("token_gap_limit", 0.001, longest_limit, 0.039);
     policy.withdrawn_streams =
         section.one_of("withdrawn_streams", {"finish", "cut"}, "finish");
+    policy.claim_retention = section.number("claim_retention", shortest_retention,
+                                            longest_retention, default_retention);
     return policy;
 }
 
--- /dev/null
+++ b/src/daemon/claim_answer.hpp
@@ -0,0 +1,18 @@
+/// Answers callers whose idempotency key is claimed already.
+#pragma once
+
+#include <agateseam/claim.hpp>
+#include <net/http_server.hpp>
+
+namespace agateseam
+{
+
+/// \brief Answers a repeat: the recorded outcome, `unknown`, or a refusal.
+///
+/// \remarks 409 `in_progress` while the first call runs, with Retry-After; 409
+/// `outcome_unknown` when nobody knows what became of it; 422 `idempotency_key_reused`
+/// when the key belongs to another call. A recorded outcome carries
+/// `Idempotent-Replayed`.
+void respond_claimed(http_exchange& exchange, const claim_answer& answer);
+
+} // namespace agateseam
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -42,6 +42,12 @@
         return tl::unexpected<error>(store.error());
     }
     context->store = std::move(*store);
+    auto claims = claim_ledger::create(*context->store, context->time, {});
+    if (!claims)
+    {
+        return tl::unexpected<error>(claims.error());
+    }
+    context->claims = std::move(*claims);
     auto allowance = static_admission::create(context->time, 1);
     if (!allowance)
     {
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include <agateseam/api_key.hpp>
+#include <agateseam/claim_ledger.hpp>
 #include <agateseam/configuration.hpp>
 #include <agateseam/member.hpp>
 #include <agateseam/object_store.hpp>
@@ -68,6 +69,7 @@
     entry_board board;
     std::unique_ptr<http_client> client;
     std::unique_ptr<object_store> store;
+    std::unique_ptr<claim_ledger> claims;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
     std::atomic<bool> leaving{false};
