--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <agateseam/admission.hpp>
-#include <agateseam/allowance.hpp>
 #include <agateseam/agent_scheduler.hpp>
+#include <agateseam/allowance.hpp>
+#include <agateseam/claim.hpp>
+#include <agateseam/claim_ledger.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
 #include <agateseam/fair_queue.hpp>
