Events: hybrid logical clock, typed events, bounded ring

Cause: no process says what happened to a request or a lease, and stamps of different VMs can't be compared.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -3,7 +3,10 @@
 
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
+#include <agateseam/event.hpp>
+#include <agateseam/event_log.hpp>
 #include <agateseam/forward_declarations.hpp>
+#include <agateseam/hybrid_clock.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -14,6 +14,14 @@
 class clock_source;
 class steady_clock_source;
 class manual_clock;
+struct hybrid_time;
+class hybrid_clock;
+
+// Events.
+enum class event_kind : std::uint8_t;
+struct event_note;
+struct event;
+class event_log;
 
 // Shared state.
 template <typename T>
