Metering: counters, numbered batches, records that count each batch once

Cause: nothing says what a workspace used, and a flush whose answer was lost must not count twice. Change: usage_meter on the path; usage_outbox seals one batch a shard at a time and sends it unchanged until it has a receipt; the record of a shard and hour keeps the highest batch number of each process incarnation beside the sums. Keeping the growing counters of each incarnation in the store was weighed: 3,200 entries x 31,000 workspaces are 99 million rows an hour; numbers beside the sums keep the same idempotence at 13,200 numbers a record.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -10,4 +10,8 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
+#include <agateseam/usage.hpp>
+#include <agateseam/usage_batch.hpp>
+#include <agateseam/usage_ledger.hpp>
+#include <agateseam/usage_meter.hpp>
 #include <agateseam/version.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -23,6 +23,16 @@
 struct event;
 class event_log;
 
+// Usage.
+struct usage_counters;
+struct usage_key;
+struct usage_batch;
+struct usage_receipt;
+class usage_meter;
+class usage_outbox;
+class usage_hour;
+class usage_ledger;
+
 // Shared state.
 template <typename T>
 class published;
