--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -7,6 +7,7 @@
 #include <agateseam/event_log.hpp>
 #include <agateseam/forward_declarations.hpp>
 #include <agateseam/hybrid_clock.hpp>
+#include <agateseam/metrics.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -33,6 +33,13 @@
 class usage_hour;
 class usage_ledger;
 
+// Metrics.
+class metric_counter;
+class metric_quantiles;
+class metric_writer;
+struct workspace_service;
+class service_watch;
+
 // Shared state.
 template <typename T>
 class published;
