--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -14,6 +14,31 @@
 class clock_source;
 class steady_clock_source;
 class manual_clock;
+struct hybrid_time;
+class hybrid_clock;
+
+// Events.
+enum class event_kind : std::uint8_t;
+struct event_note;
+struct event;
+class event_log;
+
+// Usage.
+struct usage_counters;
+struct usage_key;
+struct usage_batch;
+struct usage_receipt;
+class usage_meter;
+class usage_outbox;
+class usage_hour;
+class usage_ledger;
+
+// Metrics.
+class metric_counter;
+class metric_quantiles;
+class metric_writer;
+struct workspace_service;
+class service_watch;
 
 // Shared state.
 template <typename T>
