Graceful shutdown: not ready first, listeners later, nothing cut unless asked

Cause: an entry stopped as soon as its requests had ended, while their last bytes were still being sent; its listener had no settable while; the fleet script sent SIGTERM twice, which means not to wait; a server could stop with a connection that had just been suspended, and libmicrohttpd then aborted. Change: drain, then linger_ms with the listener open and connections closing after their answers, then open work and its unsent bytes up to drain_ms; an agent that leaves refuses new prefills as not run.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -14,6 +14,7 @@
 FLEET_SECRET = "fleet-secret-for-loopback"
 OPERATOR_TOKEN = "operator-token-for-loopback"
 START_LIMIT_S = 20
+LINGER_MS = 100
 
 DOMAINS = ("khomas-a", "khomas-b", "khomas-c", "khomas-d")
 
@@ -50,6 +51,7 @@
         self.begin = os.path.getsize(self.log_path)
         self.child = subprocess.Popen(command, stdout=self.log, stderr=self.log)
         self.port = None
+        self.asked = False
 
     def lines(self):
         with open(self.log_path, "rb") as log:
@@ -80,10 +82,16 @@
         if self.child.poll() is None:
             self.child.send_signal(number)
 
+    def ask_to_stop(self):
+        """Asks once: a second SIGTERM would tell a daemon not to wait for its work."""
+        self.send(signal.SIGCONT)
+        if not self.asked:
+            self.send(signal.SIGTERM)
+            self.asked = True
+
     def stop(self, limit_s=10):
         """Asks the process to end, then ends it; returns its exit code."""
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGTERM)
+        self.ask_to_stop()
         try:
             return self.child.wait(limit_s)
         except subprocess.TimeoutExpired:
@@ -136,8 +144,7 @@
                    "listen": {"address": "127.0.0.1", "port": port, **self.listen},
                    "platform_url": f"http://127.0.0.1:{self.processes['platform'].port}",
                    "fleet_secret": FLEET_SECRET}
-        if self.limits:
-            content["limits"] = self.limits
+        content["limits"] = {"linger_ms": LINGER_MS, **self.limits}
         return content
 
     def launch_daemon(self, name, content):
@@ -266,8 +273,7 @@
         order = [*self.entries, *[name for name, _, _ in self.agents]]
         order += [name for name in self.processes if name not in order]
         for name in order:
-            self.processes[name].send(signal.SIGCONT)
-            self.processes[name].send(signal.SIGTERM)
+            self.processes[name].ask_to_stop()
         return {name: self.processes[name].stop() for name in order}
 
     def __enter__(self):
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -65,7 +65,15 @@
 
     void drain() override { this->context->leaving = true; }
 
-    [[nodiscard]] std::size_t open_work() const override { return this->context->open; }
+    /// Leases go on being renewed until the work has ended.
+    void stop_listening() override {}
+
+    /// An attempt counts until its answer's last byte has been handed to the system.
+    [[nodiscard]] std::size_t open_work() const override
+    {
+        const std::size_t attempts = this->context->open;
+        return std::max(attempts, this->server->open_exchanges());
+    }
 
     void handle(std::shared_ptr<http_exchange> exchange) override
     {
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -19,6 +19,9 @@
     /// \brief Begins a graceful shutdown: takes no new work, lets open work end.
     virtual void drain() = 0;
 
+    /// \brief Takes no new connections, where work arrives over connections of callers.
+    virtual void stop_listening() = 0;
+
     /// \brief Returns how many requests are still under way.
     [[nodiscard]] virtual std::size_t open_work() const = 0;
 };
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -1,5 +1,6 @@
 #include <daemon/daemon.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <thread>
@@ -68,9 +69,20 @@
         return this->server->port();
     }
 
-    void drain() override { this->context->leaving = true; }
+    void drain() override
+    {
+        this->context->leaving = true;
+        this->server->close_after_answers();
+    }
+
+    void stop_listening() override { this->server->quiesce(); }
 
-    [[nodiscard]] std::size_t open_work() const override { return this->context->open; }
+    /// A request counts until its answer's last byte has been handed to the system.
+    [[nodiscard]] std::size_t open_work() const override
+    {
+        const std::size_t requests = this->context->open;
+        return std::max(requests, this->server->open_exchanges());
+    }
 
     void handle(std::shared_ptr<http_exchange> exchange) override
     {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -29,17 +29,29 @@
     return wanted;
 }
 
-/// Waits until the open work has ended, a second signal came or the time is up.
-int wait_for_end(const daemon_process& running, std::chrono::milliseconds limit)
+/// Waits; returns whether another signal came.
+bool wait_for_signal()
 {
-    const auto until = std::chrono::steady_clock::now() + limit;
     const sigset_t wanted = ending_signals();
-    while (running.open_work() > 0 && std::chrono::steady_clock::now() < until)
+    return sigtimedwait(&wanted, nullptr, &poll_interval) > 0;
+}
+
+/// Stays reachable until others know that this process is leaving, then until its work
+/// has ended; a second signal or the deadline ends it before.
+int shut_down(daemon_process& running, const limit_settings& limits)
+{
+    using clock = std::chrono::steady_clock;
+    running.drain();
+    const auto begun = clock::now();
+    bool hurried = false;
+    while (!hurried && clock::now() - begun < limits.linger)
+    {
+        hurried = wait_for_signal();
+    }
+    running.stop_listening();
+    while (!hurried && running.open_work() > 0 && clock::now() - begun < limits.drain)
     {
-        if (sigtimedwait(&wanted, nullptr, &poll_interval) > 0)
-        {
-            break;
-        }
+        hurried = wait_for_signal();
     }
     const auto left = static_cast<std::int64_t>(running.open_work());
     log_line(left == 0 ? log_level::info : log_level::warning, "stopped",
@@ -65,8 +77,7 @@
     int received = 0;
     sigwait(&wanted, &received);
     log_line(log_level::info, "draining", {{"signal", std::int64_t{received}}});
-    (*running)->drain();
-    return wait_for_end(**running, settings.limits.drain);
+    return shut_down(**running, settings.limits);
 }
 
 int start(int argc, char** argv)
--- a/src/daemon/prefill_attempt.cpp
+++ b/src/daemon/prefill_attempt.cpp
@@ -100,6 +100,14 @@
 void start_prefill_attempt(agent_context& context,
                            std::shared_ptr<http_exchange> exchange, attempt_order order)
 {
+    if (context.leaving)
+    {
+        context.attempts.end(order.id, run_state::not_run, context.time.now());
+        respond(*exchange, to_api_error({error_code::exhausted, "prefill",
+                                         context.settings.vm, "the agent is leaving"},
+                                        run_state::not_run));
+        return;
+    }
     std::make_shared<prefill_attempt>(context, std::move(exchange), std::move(order))
         ->start();
 }
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -132,7 +132,7 @@
     {
         MHD_add_response_header(response, name.c_str(), value.c_str());
     }
-    if (*this->closing)
+    if (this->server->closing)
     {
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     }
@@ -142,6 +142,10 @@
 MHD_Result exchange_impl::queue_or_suspend()
 {
     const std::scoped_lock hold(this->mutex);
+    if (this->state == phase::waiting && this->server->stopping)
+    {
+        return MHD_NO;
+    }
     if (this->state == phase::waiting)
     {
         this->suspended = true;
@@ -188,6 +192,10 @@
     {
         return MHD_CONTENT_READER_END_OF_STREAM;
     }
+    if (this->server->stopping)
+    {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
     this->suspended = true;
     MHD_suspend_connection(this->connection);
     return 0;
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -18,15 +18,21 @@
 namespace agateseam
 {
 
+/// What a server's exchanges need to know of it.
+struct server_phase
+{
+    std::atomic<bool> closing{false};  ///< Connections close after their next answer.
+    std::atomic<bool> stopping{false}; ///< Nothing waits for an answer any more.
+};
+
 /// One request's state, shared by libmicrohttpd's callbacks and the handler.
 class exchange_impl final : public http_exchange,
                             public std::enable_shared_from_this<exchange_impl>
 {
   public:
-    /// \param last whether the connection should close after the answer.
-    exchange_impl(MHD_Connection* peer, const std::atomic<bool>& last)
+    exchange_impl(MHD_Connection* peer, const server_phase& current)
         : connection(peer)
-        , closing(&last)
+        , server(&current)
         , started(std::chrono::steady_clock::now())
     {
         const MHD_ConnectionInfo* info =
@@ -97,7 +103,7 @@
 
     std::mutex mutex;
     MHD_Connection* connection;
-    const std::atomic<bool>* closing;
+    const server_phase* server;
     int descriptor = -1;
     std::chrono::steady_clock::time_point started;
     phase state = phase::waiting;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -64,7 +64,7 @@
     {
         if (!this->quiesced.exchange(true))
         {
-            this->closing = true;
+            this->current_phase.closing = true;
             const int socket = static_cast<int>(MHD_quiesce_daemon(this->daemon));
             if (socket >= 0)
             {
@@ -73,7 +73,7 @@
         }
     }
 
-    void close_after_answers() override { this->closing = true; }
+    void close_after_answers() override { this->current_phase.closing = true; }
 
     /// A connection begins; its first head must be complete within the request limit.
     [[nodiscard]] connection_watch* watch(int descriptor)
@@ -111,7 +111,7 @@
             steady_clock::now() + this->options.idle_limit + this->options.request_limit;
     }
 
-    std::atomic<bool> closing{false};
+    server_phase current_phase;
     http_server_options options;
     http_handler* handler;
 
@@ -194,7 +194,7 @@
 MHD_Result first_call(server_impl& server, MHD_Connection* connection, const char* url,
                       const char* method, void** context)
 {
-    auto exchange = std::make_shared<exchange_impl>(connection, server.closing);
+    auto exchange = std::make_shared<exchange_impl>(connection, server.current_phase);
     exchange->parsed.method = method;
     exchange->parsed.path = url;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, copy_header,
@@ -390,6 +390,7 @@
     if (this->daemon != nullptr)
     {
         this->quiesce();
+        this->current_phase.stopping = true;
         for (const auto& exchange : this->exchanges())
         {
             exchange->stop();
