--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -8,9 +8,9 @@
 #include <agateseam/claim_ledger.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
-#include <agateseam/fair_queue.hpp>
 #include <agateseam/event.hpp>
 #include <agateseam/event_log.hpp>
+#include <agateseam/fair_queue.hpp>
 #include <agateseam/forward_declarations.hpp>
 #include <agateseam/hybrid_clock.hpp>
 #include <agateseam/metrics.hpp>
