--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -26,6 +26,13 @@
 struct object_event;
 class object_store;
 
+// Allowances.
+struct admission_decision;
+struct allowance_terms;
+class admission;
+class static_admission;
+class allowance;
+
 // Requests.
 enum class run_state : std::uint8_t;
 enum class backend_kind : std::uint8_t;
