Shares over the fleet: a home for each shard grants tokens to entries

Cause: the static split refuses the innocent and over-admits while the list changes. Change: each workspace belongs to a shard with one home entry, written into the store by conditional update only when the home changes. The home keeps the whole bucket; entries get tokens, prepaid, and a granted token stays reserved until its holder has reported it delivered or returned. Safety then needs no clock but the home's and no expiry. A home is replaced only when the platform's list has dropped it, and the new one grants nothing before every listed entry has said what it holds. All counters rise only.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -9,5 +9,9 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
+#include <agateseam/share_directory.hpp>
+#include <agateseam/share_holder.hpp>
+#include <agateseam/share_home.hpp>
+#include <agateseam/share_messages.hpp>
 #include <agateseam/static_admission.hpp>
 #include <agateseam/version.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -32,6 +32,17 @@
 class admission;
 class static_admission;
 class allowance;
+struct share_account;
+struct share_line;
+struct share_report;
+struct share_grant;
+struct share_answer;
+struct share_census;
+struct share_census_answer;
+struct share_record;
+struct share_options;
+class share_home;
+class share_holder;
 
 // Requests.
 enum class run_state : std::uint8_t;
