Agents queue in fair order and hold slots as leases

Cause: with all slots held an agent refused at once, a paused entry's slots were held until its TCP connection died, and a restarted agent offered slots that its engine still used for its predecessor.

Change: prefill and decode agents run agent_scheduler through slot_service (one thread, woken when something is due). Entries renew the leases of what they relay once a second, one call an agent. A new agent cancels what its engine still runs before it serves. work_estimator learns token gap, answer length and lead.

--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr std::chrono::milliseconds heartbeat_interval{500};
+constexpr std::chrono::milliseconds reconcile_interval{50};
 constexpr std::chrono::seconds outcome_retention{120};
 
 /// Serves the orders of entries and of other agents.
@@ -38,6 +39,7 @@
         {
             this->beater.join();
         }
+        this->context->slots->stop();
         this->server.reset();
         this->context->client.reset();
     }
@@ -61,17 +63,21 @@
         return this->server->port();
     }
 
-    void drain() override { this->context->leaving = true; }
+    void drain() override { this->context->drain(); }
 
     [[nodiscard]] std::size_t open_work() const override { return this->context->open; }
 
     void handle(std::shared_ptr<http_exchange> exchange) override
     {
         const std::string& path = exchange->request().path;
-        if (path == "/healthz" || path == "/readyz")
+        if (path == "/healthz")
         {
-            exchange->respond(path == "/readyz" && this->context->leaving ? 503 : 200, {},
-                              "");
+            exchange->respond(200, {}, "");
+        }
+        else if (path == "/readyz")
+        {
+            const bool serves = this->context->ready && !this->context->leaving;
+            exchange->respond(serves ? 200 : 503, {}, "");
         }
         else if (!equal_secrets(exchange->request().header(headers::fleet),
                                 this->context->settings.fleet_secret))
@@ -85,6 +91,10 @@
             exchange->respond(200, {{"Content-Type", "application/json"}},
                               to_text(this->context->report()));
         }
+        else if (path == "/agent/renew")
+        {
+            this->renew(*exchange);
+        }
         else if (path == "/agent/drain")
         {
             this->drain();
@@ -97,8 +107,32 @@
     }
 
   private:
+    /// An entry names the attempts that it still relays.
+    void renew(http_exchange& exchange)
+    {
+        const auto ids = parse_attempt_ids(exchange.request().body);
+        if (!ids)
+        {
+            respond(exchange, to_api_error(ids.error(), run_state::not_run));
+            return;
+        }
+        for (const attempt_id& id : *ids)
+        {
+            this->context->slots->renew(id);
+        }
+        exchange.respond(200, {this->context->load_header()}, "");
+    }
+
     void take_order(const std::shared_ptr<http_exchange>& exchange)
     {
+        if (!this->context->ready)
+        {
+            respond(*exchange, to_api_error({error_code::unavailable, "receive order",
+                                             this->context->settings.vm,
+                                             "the engine is not reconciled yet"},
+                                            run_state::not_run));
+            return;
+        }
         const http_request& request = exchange->request();
         auto order = parse_attempt_order(request.header(headers::attempt));
         if (!order)
@@ -139,8 +173,13 @@
         std::unique_lock hold(this->mutex);
         while (!this->stopping)
         {
-            this->wake.wait_for(hold, heartbeat_interval);
+            this->wake.wait_for(hold, this->context->ready ? heartbeat_interval
+                                                           : reconcile_interval);
             hold.unlock();
+            if (!this->context->ready)
+            {
+                this->context->ready = this->context->reconcile();
+            }
             this->context->beat();
             this->context->attempts.forget_before(this->context->time.now() -
                                                   outcome_retention);
--- a/src/daemon/agent_context.cpp
+++ b/src/daemon/agent_context.cpp
@@ -1,8 +1,41 @@
 #include <daemon/agent_context.hpp>
 
+#include <nlohmann/json.hpp>
+
+#include <net/log.hpp>
+
 namespace agateseam
 {
 
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds first_token_gap{39}; ///< Until answers were observed.
+constexpr milliseconds kv_lifetime{900};    ///< Of a prefill's result at its engine.
+constexpr std::uint32_t prefill_slots = 1;  ///< An engine prefills one after another.
+constexpr milliseconds engine_timeout{2'000};
+constexpr int status_ok = 200;
+
+scheduler_options scheduler_options_of(const backend_settings& backend)
+{
+    const bool prefill = backend.kind == backend_kind::prefill;
+    scheduler_options options;
+    options.slots = prefill ? prefill_slots : backend.slots;
+    options.queue_limit = backend.queue_limit;
+    options.kv_lifetime = kv_lifetime;
+    return options;
+}
+
+duration lead_per_token(const backend_settings& backend)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(1 / backend.tokens_per_second));
+}
+
+} // namespace
+
 bool attempt_table::begin(const attempt_id& id, time_point now)
 {
     const std::scoped_lock hold(this->mutex);
@@ -43,14 +76,73 @@
     {
         return tl::unexpected<error>(client.error());
     }
-    std::unique_ptr<agent_context> context(new agent_context);
-    context->settings = settings;
+    std::unique_ptr<agent_context> context(new agent_context(settings));
     context->client = std::move(*client);
+    auto slots =
+        slot_service::create(scheduler_options_of(settings.backend), context->time);
+    if (!slots)
+    {
+        return tl::unexpected<error>(slots.error());
+    }
+    context->slots = std::move(*slots);
+    context->ready = settings.backend.kind == backend_kind::service;
     context->incarnation =
         static_cast<std::uint64_t>(context->time.wall_now().time_since_epoch().count());
     return context;
 }
 
+agent_context::agent_context(const daemon_settings& chosen)
+    : settings(chosen)
+    , estimator(first_token_gap, lead_per_token(chosen.backend))
+{
+}
+
+void agent_context::drain()
+{
+    this->leaving = true;
+    this->slots->drain();
+}
+
+bool agent_context::reconcile()
+{
+    http_call list;
+    list.url = this->settings.backend.url + "/requests";
+    list.step = "reconcile";
+    list.total_timeout = engine_timeout;
+    const auto reply = this->client->fetch(std::move(list));
+    if (!reply || reply->status != status_ok)
+    {
+        return false;
+    }
+    const auto ids = nlohmann::json::parse(reply->body, nullptr, false);
+    for (const auto& id : ids)
+    {
+        if (id.is_string())
+        {
+            this->abort_at_engine(id.get<std::string>());
+        }
+    }
+    return ids.is_array() && ids.empty();
+}
+
+void agent_context::abort_at_engine(const std::string& engine_id)
+{
+    http_call abort;
+    abort.method = "POST";
+    abort.url = this->settings.backend.url + "/abort";
+    abort.step = "cancel";
+    abort.total_timeout = engine_timeout;
+    abort.body = nlohmann::json{{"request_id", engine_id}}.dump();
+    this->client->fetch_async(std::move(abort),
+                              [](const result<http_reply>& reply)
+                              {
+                                  if (!reply)
+                                  {
+                                      log_error("cancel failed", reply.error());
+                                  }
+                              });
+}
+
 bool agent_context::take_slot()
 {
     std::uint32_t held = this->used.load();
@@ -78,10 +170,12 @@
     report.kind = this->settings.backend.kind;
     report.pool = this->settings.backend.pool;
     report.failure_domain = this->settings.failure_domain;
-    report.slots = this->settings.backend.slots;
-    report.used = this->used;
-    report.queued = this->waiting;
-    report.queued_tokens = this->waiting_tokens;
+    const bool prefill = report.kind == backend_kind::prefill;
+    const scheduler_load load = this->slots->load();
+    report.slots = prefill ? prefill_slots : this->settings.backend.slots;
+    report.used = this->used + load.used;
+    report.queued = load.queued;
+    report.queued_tokens = static_cast<std::uint64_t>(load.queued_tokens);
     report.tokens_per_second = this->settings.backend.tokens_per_second;
     report.leaving = this->leaving;
     return report;
--- a/src/daemon/agent_context.hpp
+++ b/src/daemon/agent_context.hpp
@@ -11,8 +11,10 @@
 
 #include <agateseam/clock.hpp>
 #include <agateseam/request.hpp>
+#include <agateseam/work_estimator.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
+#include <daemon/slot_service.hpp>
 #include <net/http_client.hpp>
 
 namespace agateseam
@@ -58,7 +60,8 @@
     [[nodiscard]] static result<std::unique_ptr<agent_context>>
     create(const daemon_settings& settings);
 
-    /// \brief Takes a slot unless all are held or the agent is leaving.
+    /// \brief Takes a slot of a plain service unless all are held or the agent is
+    /// leaving.
     [[nodiscard]] bool take_slot();
     void release_slot();
 
@@ -66,6 +69,16 @@
     [[nodiscard]] load_report report();
     [[nodiscard]] http_header load_header();
 
+    /// \brief Takes no more work, and hands back what waits.
+    void drain();
+
+    /// \brief Cancels what the engine still runs for an earlier incarnation.
+    /// \returns whether the engine runs nothing of that kind any more.
+    [[nodiscard]] bool reconcile();
+
+    /// \brief Tells the engine to cancel an attempt; a failure is logged.
+    void abort_at_engine(const std::string& engine_id);
+
     /// \brief Calls the listener at each heartbeat until it is destroyed.
     void listen(std::weak_ptr<heartbeat_listener> listener);
     void beat();
@@ -74,13 +87,14 @@
     steady_clock_source time;
     attempt_table attempts;
     std::atomic<bool> leaving{false};
-    std::atomic<std::uint32_t> waiting{0};        ///< Prefills that wait or run.
-    std::atomic<std::uint64_t> waiting_tokens{0}; ///< Their prompt tokens.
-    std::atomic<std::size_t> open{0};             ///< Attempts under way.
+    std::atomic<bool> ready{false};   ///< Whether the engine was reconciled.
+    std::atomic<std::size_t> open{0}; ///< Attempts under way.
+    work_estimator estimator;
+    std::unique_ptr<slot_service> slots; ///< Of a model engine; the attempts' leases.
     std::unique_ptr<http_client> client;
 
   private:
-    agent_context() = default;
+    explicit agent_context(const daemon_settings& chosen);
 
     std::atomic<std::uint32_t> used{0};
     std::atomic<std::uint64_t> sequence{0};
--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -15,8 +15,9 @@
 
 constexpr int status_ok = 200;
 
-/// One decode order: holds a slot from its begin to its end.
+/// One decode order: waits for a slot, then holds it until its end.
 class decode_attempt final : public heartbeat_listener,
+                             public slot_owner,
                              public http_sink,
                              public std::enable_shared_from_this<decode_attempt>
 {
@@ -33,7 +34,7 @@
 
     ~decode_attempt() override
     {
-        this->context->release_slot();
+        this->context->slots->release(this->order.id, this->output_cost());
         --this->context->open;
     }
 
@@ -42,15 +43,24 @@
 
     void start()
     {
+        const std::scoped_lock begin(this->starting);
+        this->deadline = this->context->time.now() + this->order.deadline;
         this->body = json::parse(this->exchange->take_body(), nullptr, false);
-        this->exchange->begin_stream(status_ok, {{"Content-Type", "text/event-stream"},
-                                                 this->context->load_header()});
         if (!this->body.is_object())
         {
-            this->end(run_state::not_run, {error_code::invalid, "decode", "",
-                                           "the body is not a JSON object"});
+            this->refuse(
+                {error_code::invalid, "decode", "", "the body is not a JSON object"});
+            return;
+        }
+        const auto queued =
+            this->context->slots->submit(this->wish(), this->shared_from_this());
+        if (!queued)
+        {
+            this->refuse(queued.error());
             return;
         }
+        this->exchange->begin_stream(status_ok, {{"Content-Type", "text/event-stream"},
+                                                 this->context->load_header()});
         const std::weak_ptr<decode_attempt> weak = this->weak_from_this();
         this->exchange->on_gone(
             [weak]
@@ -60,10 +70,45 @@
                     self->give_up();
                 }
             });
-        this->start_prefill();
     }
 
-    void on_heartbeat() override { this->exchange->write(stream_heartbeat); }
+    void on_slot(const slot_event& event) override
+    {
+        const std::scoped_lock begun(this->starting);
+        switch (event.kind)
+        {
+        case slot_event_kind::granted:
+            this->start_prefill();
+            break;
+        case slot_event_kind::started:
+            this->start_decode();
+            break;
+        case slot_event_kind::refused:
+            this->end(run_state::not_run,
+                      {event.reason, "reserve slot", this->context->settings.vm,
+                       "no slot can be had in time"});
+            break;
+        case slot_event_kind::lapsed:
+            this->exchange->abort();
+            this->give_up();
+            break;
+        }
+    }
+
+    void on_heartbeat() override
+    {
+        this->exchange->write(stream_heartbeat);
+        const std::uint32_t got = this->delivered;
+        const std::uint32_t limit = this->order.output_tokens;
+        if (got > this->order.resume_from && got < limit)
+        {
+            const work_estimator& estimator = this->context->estimator;
+            const double expected = std::max(1.0, estimator.output_tokens(limit) - got);
+            this->context->slots->progress(this->order.id,
+                                           estimator.output_time(expected),
+                                           estimator.output_time(limit - got));
+        }
+    }
 
     void on_head(int status, const std::vector<http_header>&) override
     {
@@ -88,6 +133,7 @@
     {
         if (this->complete)
         {
+            this->note_answer();
             this->exchange->write(to_text({"", "", stream_end}));
             this->finish(run_state::ran);
         }
@@ -105,6 +151,48 @@
     }
 
   private:
+    [[nodiscard]] slot_request wish() const
+    {
+        const work_estimator& estimator = this->context->estimator;
+        const std::uint32_t limit =
+            this->order.output_tokens -
+            std::min(this->order.output_tokens, this->order.resume_from);
+        slot_request request;
+        request.id = this->order.id;
+        request.workspace = this->order.workspace;
+        request.weight = this->order.weight;
+        request.tokens = estimator.output_tokens(limit);
+        request.expected = estimator.output_time(request.tokens);
+        request.longest = estimator.output_time(limit);
+        request.lead = estimator.lead(this->order.prompt_tokens);
+        request.deadline = this->deadline;
+        return request;
+    }
+
+    /// Output tokens made here, which the workspace is charged in the fair queue.
+    [[nodiscard]] double output_cost() const
+    {
+        return double{0} + this->delivered - this->order.resume_from;
+    }
+
+    /// Refuses before anything was begun.
+    void refuse(const error& fault)
+    {
+        this->context->attempts.end(this->order.id, run_state::not_run,
+                                    this->context->time.now());
+        api_error refused = to_api_error(fault, run_state::not_run);
+        refused.retry_after = std::chrono::ceil<std::chrono::milliseconds>(
+            this->context->slots->retry_after());
+        respond(*this->exchange, refused);
+    }
+
+    [[nodiscard]] std::chrono::milliseconds time_left() const
+    {
+        return std::max(std::chrono::milliseconds(1),
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            this->deadline - this->context->time.now()));
+    }
+
     [[nodiscard]] std::string engine_id() const
     {
         return this->order.id.request + "." + std::to_string(this->order.id.attempt);
@@ -123,6 +211,8 @@
 
     void start_prefill()
     {
+        this->lead_begin = this->context->time.now();
+        this->order.deadline = this->time_left();
         http_call prefill;
         prefill.method = "POST";
         prefill.url = "http://" + this->order.prefill_address + "/agent/prefill";
@@ -158,13 +248,20 @@
                        "the prefill agent answered " + std::to_string(reply->status)});
             return;
         }
+        this->context->estimator.note_lead(this->order.prompt_tokens,
+                                           this->context->time.now() - this->lead_begin);
         this->prefill_usage = answer.value("usage", json::object());
-        this->start_decode(answer["kv_transfer_params"]);
+        this->body["kv_transfer_params"] = answer["kv_transfer_params"];
+        if (!this->context->slots->start(this->order.id, this->shared_from_this()))
+        {
+            this->end(run_state::not_run,
+                      {error_code::timeout, "reserve slot", this->context->settings.vm,
+                       "the reservation lapsed"});
+        }
     }
 
-    void start_decode(const json& transfer)
+    void start_decode()
     {
-        this->body["kv_transfer_params"] = transfer;
         this->body["stream"] = true;
         this->body["stream_options"] = {{"include_usage", true}};
         if (this->order.resume_from > 0)
@@ -203,7 +300,10 @@
         const json choices = chunk.value("choices", json::array());
         if (!choices.empty())
         {
-            this->delivered += carries_token(choices[0]) ? 1 : 0;
+            if (carries_token(choices[0]))
+            {
+                this->count_token();
+            }
             const std::string number = std::to_string(this->delivered);
             this->exchange->write(to_text({"", number, event.data}));
         }
@@ -213,6 +313,15 @@
         }
     }
 
+    void count_token()
+    {
+        this->last_token = this->context->time.now();
+        if (++this->delivered == this->order.resume_from + 1)
+        {
+            this->first_token = this->last_token;
+        }
+    }
+
     void relay_usage(json usage)
     {
         usage["prompt_tokens_details"] =
@@ -242,30 +351,23 @@
         }
         this->context->attempts.end(this->order.id, run_state::ran,
                                     this->context->time.now());
-        this->abort_at_engine();
+        this->context->abort_at_engine(this->engine_id());
+        this->context->slots->release(this->order.id, this->output_cost());
         if (running != 0)
         {
             this->context->client->cancel(running);
         }
     }
 
-    void abort_at_engine()
+    void note_answer()
     {
-        http_call abort;
-        abort.method = "POST";
-        abort.url = this->context->settings.backend.url + "/abort";
-        abort.step = "cancel";
-        abort.total_timeout = this->context->settings.limits.silence;
-        abort.body = json{{"request_id", this->engine_id()}}.dump();
-        this->context->client->fetch_async(
-            std::move(abort),
-            [self = this->shared_from_this()](const result<http_reply>& reply)
-            {
-                if (!reply)
-                {
-                    log_error("cancel failed", reply.error());
-                }
-            });
+        const std::uint32_t made = this->delivered - this->order.resume_from;
+        if (made > 0)
+        {
+            this->context->estimator.note_answer(
+                this->order.output_tokens - this->order.resume_from, made,
+                this->last_token - this->first_token);
+        }
     }
 
     void end(run_state run, const error& fault)
@@ -276,6 +378,7 @@
 
     void finish(run_state run)
     {
+        this->context->slots->release(this->order.id, this->output_cost());
         this->context->attempts.end(this->order.id, run, this->context->time.now());
         this->exchange->finish();
     }
@@ -286,9 +389,14 @@
     json body;
     json prefill_usage;
     event_splitter events;
-    std::uint32_t delivered;
+    std::atomic<std::uint32_t> delivered; ///< Output tokens, with those resumed from.
+    time_point deadline;                  ///< For the first token.
+    time_point lead_begin;
+    time_point first_token;
+    time_point last_token;
     int engine_status = 0;
     bool complete = false;
+    std::mutex starting; ///< Held until the stream has begun.
     std::mutex mutex;
     bool given_up = false;
     http_client::call_id call = 0;
@@ -299,14 +407,6 @@
 void start_decode_attempt(agent_context& context, std::shared_ptr<http_exchange> exchange,
                           attempt_order order)
 {
-    if (!context.take_slot())
-    {
-        context.attempts.end(order.id, run_state::not_run, context.time.now());
-        respond(*exchange, to_api_error({error_code::exhausted, "reserve slot",
-                                         context.settings.vm, "no slot is free"},
-                                        run_state::not_run));
-        return;
-    }
     auto attempt =
         std::make_shared<decode_attempt>(context, std::move(exchange), std::move(order));
     context.listen(attempt);
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -40,6 +40,7 @@
         this->config.reset();
         this->members.reset();
         this->server.reset();
+        this->context->renewer->stop();
         this->context->client.reset();
     }
     entry(const entry&) = delete;
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -49,6 +49,8 @@
     }
     context->allowance = std::move(*allowance);
     context->placer = make_least_load_placement();
+    context->renewer =
+        std::make_unique<lease_renewer>(*context->client, settings.fleet_secret);
     return context;
 }
 
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -14,6 +14,7 @@
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/static_admission.hpp>
+#include <daemon/lease_renewer.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
 #include <net/http_client.hpp>
@@ -70,6 +71,7 @@
     std::unique_ptr<object_store> store;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
+    std::unique_ptr<lease_renewer> renewer;
     std::atomic<bool> leaving{false};
     std::atomic<std::size_t> open{0}; ///< Requests under way.
 
--- a/src/daemon/messages.cpp
+++ b/src/daemon/messages.cpp
@@ -101,6 +101,32 @@
         });
 }
 
+std::string to_text(std::span<const attempt_id> ids)
+{
+    json list = json::array();
+    for (const attempt_id& id : ids)
+    {
+        list.push_back({id.request, id.attempt});
+    }
+    return list.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
+result<std::vector<attempt_id>> parse_attempt_ids(std::string_view text)
+{
+    return parse_message<std::vector<attempt_id>>(
+        text, "read renewals",
+        [](const json& source)
+        {
+            std::vector<attempt_id> ids;
+            for (const json& item : source)
+            {
+                ids.push_back(
+                    {item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>()});
+            }
+            return ids;
+        });
+}
+
 std::string to_text(const load_report& report)
 {
     return json{{"vm", report.vm},
--- a/src/daemon/messages.hpp
+++ b/src/daemon/messages.hpp
@@ -3,8 +3,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <agateseam/error.hpp>
 #include <agateseam/request.hpp>
@@ -42,6 +44,10 @@
 [[nodiscard]] std::string to_text(const attempt_order& order);
 [[nodiscard]] result<attempt_order> parse_attempt_order(std::string_view text);
 
+/// \brief Returns the form of the attempts whose leases an entry renews.
+[[nodiscard]] std::string to_text(std::span<const attempt_id> ids);
+[[nodiscard]] result<std::vector<attempt_id>> parse_attempt_ids(std::string_view text);
+
 [[nodiscard]] std::string to_text(const load_report& report);
 [[nodiscard]] result<load_report> parse_load_report(std::string_view text);
 
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -174,6 +174,7 @@
 
     void on_done(const result<void>& outcome) override
     {
+        this->context->renewer->remove(this->decode_address, {this->id, this->attempt});
         if (this->exchange->gone())
         {
             this->settle();
@@ -283,6 +284,7 @@
     {
         ++this->attempt;
         this->decode_vm = choice.decode->vm;
+        this->decode_address = choice.decode->address;
         this->prefill_vm = choice.prefill->vm;
         attempt_order order;
         order.id = {this->id, this->attempt};
@@ -320,6 +322,7 @@
             this->settle();
             return;
         }
+        this->context->renewer->add(this->decode_address, {this->id, this->attempt});
         this->call_id =
             this->context->client->start(std::move(call), this->shared_from_this());
     }
@@ -553,6 +556,7 @@
 
     std::uint32_t attempt = 0;
     std::string decode_vm;
+    std::string decode_address;
     std::string prefill_vm;
     std::vector<std::string> excluded;
     bool maybe_run = false;
--- a/src/daemon/prefill_attempt.cpp
+++ b/src/daemon/prefill_attempt.cpp
@@ -14,8 +14,16 @@
 
 constexpr int status_ok = 200;
 
-/// Counts a prefill as waiting for as long as it lives.
-class prefill_attempt final : public std::enable_shared_from_this<prefill_attempt>
+duration time_for(double tokens, double tokens_per_second)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(tokens / tokens_per_second));
+}
+
+/// One prefill: waits for the engine in fair order, then runs.
+class prefill_attempt final : public slot_owner,
+                              public heartbeat_listener,
+                              public std::enable_shared_from_this<prefill_attempt>
 {
   public:
     prefill_attempt(agent_context& shared, std::shared_ptr<http_exchange> relay,
@@ -25,14 +33,11 @@
         , order(std::move(accepted))
     {
         ++this->context->open;
-        ++this->context->waiting;
-        this->context->waiting_tokens += this->order.prompt_tokens;
     }
 
-    ~prefill_attempt()
+    ~prefill_attempt() override
     {
-        this->context->waiting_tokens -= this->order.prompt_tokens;
-        --this->context->waiting;
+        this->context->slots->release(this->order.id, this->used);
         --this->context->open;
     }
 
@@ -41,16 +46,83 @@
 
     void start()
     {
-        json body = json::parse(this->exchange->take_body(), nullptr, false);
-        if (!body.is_object())
+        this->body = json::parse(this->exchange->take_body(), nullptr, false);
+        if (!this->body.is_object())
         {
-            respond(*this->exchange, to_api_error({error_code::invalid, "prefill", "",
-                                                   "the body is not a JSON object"},
-                                                  run_state::not_run));
+            this->refuse(
+                {error_code::invalid, "prefill", "", "the body is not a JSON object"});
             return;
         }
-        body["kv_transfer_params"] = {{"do_remote_decode", true}};
-        body["stream"] = false;
+        const auto queued =
+            this->context->slots->submit(this->wish(), this->shared_from_this());
+        if (!queued)
+        {
+            this->refuse(queued.error());
+            return;
+        }
+        const std::weak_ptr<prefill_attempt> weak = this->weak_from_this();
+        this->exchange->on_gone(
+            [weak]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->give_up();
+                }
+            });
+    }
+
+    void on_slot(const slot_event& event) override
+    {
+        switch (event.kind)
+        {
+        case slot_event_kind::granted:
+            this->context->slots->start(this->order.id, this->shared_from_this());
+            break;
+        case slot_event_kind::started:
+            this->call_engine();
+            break;
+        case slot_event_kind::refused:
+            this->refuse({event.reason, "prefill", this->context->settings.vm,
+                          "the prefill cannot begin in time"});
+            break;
+        case slot_event_kind::lapsed:
+            this->give_up();
+            break;
+        }
+    }
+
+    /// The decode agent waits on this exchange: as long as it is there, so is the lease.
+    void on_heartbeat() override
+    {
+        if (!this->exchange->gone())
+        {
+            this->context->slots->renew(this->order.id);
+        }
+    }
+
+  private:
+    [[nodiscard]] slot_request wish() const
+    {
+        const backend_settings& backend = this->context->settings.backend;
+        slot_request request;
+        request.id = this->order.id;
+        request.workspace = this->order.workspace;
+        request.weight = this->order.weight;
+        request.tokens = this->order.prompt_tokens;
+        request.expected = time_for(this->order.prompt_tokens, backend.tokens_per_second);
+        request.longest = request.expected;
+        request.transfer =
+            time_for(this->order.prompt_tokens, backend.link_tokens_per_second);
+        request.deadline =
+            this->context->time.now() + this->order.deadline - request.expected;
+        return request;
+    }
+
+    void call_engine()
+    {
+        this->used = this->order.prompt_tokens;
+        this->body["kv_transfer_params"] = {{"do_remote_decode", true}};
+        this->body["stream"] = false;
         http_call call;
         call.method = "POST";
         call.url = this->context->settings.backend.url + this->order.path;
@@ -59,35 +131,67 @@
         call.headers = {{"Content-Type", "application/json"},
                         {"x-request-id", this->order.id.request + "." +
                                              std::to_string(this->order.id.attempt)}};
-        call.body = body.dump();
-        const auto running = this->context->client->fetch_async(
-            std::move(call), [self = this->shared_from_this()](result<http_reply> reply)
-            { self->on_reply(std::move(reply)); });
-        this->exchange->on_gone([client = this->context->client.get(), running]
-                                { client->cancel(running); });
+        call.body = this->body.dump();
+        this->body = nullptr;
+        const std::scoped_lock hold(this->mutex);
+        if (!this->given_up)
+        {
+            this->running = this->context->client->fetch_async(
+                std::move(call),
+                [self = this->shared_from_this()](result<http_reply> reply)
+                { self->on_reply(std::move(reply)); });
+        }
     }
 
-  private:
     void on_reply(result<http_reply> reply)
     {
         if (!reply || reply->status != status_ok)
         {
-            const error fault = reply ? error{error_code::unavailable, "prefill",
-                                              this->context->settings.backend.url,
-                                              "the engine refused the prefill"}
-                                      : reply.error();
-            respond(*this->exchange, to_api_error(fault, run_state::not_run));
+            this->refuse(reply ? error{error_code::unavailable, "prefill",
+                                       this->context->settings.backend.url,
+                                       "the engine refused the prefill"}
+                               : reply.error());
             return;
         }
+        this->context->slots->release(this->order.id, this->used);
         this->exchange->respond(
             status_ok,
             {{"Content-Type", "application/json"}, this->context->load_header()},
             std::move(reply->body));
     }
 
+    /// The decode agent has gone: what waits or runs for it ends.
+    void give_up()
+    {
+        http_client::call_id call = 0;
+        {
+            const std::scoped_lock hold(this->mutex);
+            this->given_up = true;
+            call = this->running;
+        }
+        this->context->slots->release(this->order.id, this->used);
+        if (call != 0)
+        {
+            this->context->client->cancel(call);
+        }
+    }
+
+    void refuse(const error& fault)
+    {
+        api_error refused = to_api_error(fault, run_state::not_run);
+        refused.retry_after = std::chrono::ceil<std::chrono::milliseconds>(
+            this->context->slots->retry_after());
+        respond(*this->exchange, refused);
+    }
+
     agent_context* context;
     std::shared_ptr<http_exchange> exchange;
     attempt_order order;
+    json body;
+    double used = 0; ///< Tokens that the engine was asked for.
+    std::mutex mutex;
+    bool given_up = false;
+    http_client::call_id running = 0;
 };
 
 } // namespace
@@ -95,8 +199,10 @@
 void start_prefill_attempt(agent_context& context,
                            std::shared_ptr<http_exchange> exchange, attempt_order order)
 {
-    std::make_shared<prefill_attempt>(context, std::move(exchange), std::move(order))
-        ->start();
+    auto attempt =
+        std::make_shared<prefill_attempt>(context, std::move(exchange), std::move(order));
+    context.listen(attempt);
+    attempt->start();
 }
 
 } // namespace agateseam
