--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -1,6 +1,8 @@
 /// The whole public library.
 #pragma once
 
+#include <agateseam/admission.hpp>
+#include <agateseam/allowance.hpp>
 #include <agateseam/agent_scheduler.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
@@ -9,4 +11,5 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
+#include <agateseam/static_admission.hpp>
 #include <agateseam/version.hpp>
