Placement by sampled cost, cache index and digests

Cause: least load looks through every agent and knows neither caches, failure domains nor the policy's weights.

Change: weighted_placement compares six sampled agents of a kind (two by the prompt's prefix) by waiting, prefill saved and transfer across failure domains. cache_index follows late events and forgets all on a gap; cache_digest is a Bloom filter of the workspace-salted block chain. Not used by the daemons yet.

Tests: properties of index and digest, choices by domain, load, cache and exclusion.

--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -41,7 +41,10 @@
 
 // The work of one backend server.
 class agent_scheduler;
+class cache_digest;
+class cache_index;
 class fair_queue;
+class work_estimator;
 struct scheduler_load;
 struct scheduler_options;
 struct slot_event;
--- a/include/agateseam/member.hpp
+++ b/include/agateseam/member.hpp
@@ -6,7 +6,9 @@
 #include <string>
 #include <vector>
 
+#include <agateseam/cache_digest.hpp>
 #include <agateseam/clock.hpp>
+#include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
 
 namespace agateseam
@@ -38,6 +40,8 @@
     std::atomic<std::uint64_t> sent_tokens{0};
     std::atomic<std::uint64_t> incarnation{0};
     std::atomic<std::uint64_t> sequence{0};
+    published<cache_digest>
+        cache; ///< Of a prefill engine's cache; null before the first.
     std::atomic<duration::rep> heard{0}; ///< Monotonic time of the newest report.
 
     /// \brief Takes over a report unless a newer one is known.
--- a/include/agateseam/placement.hpp
+++ b/include/agateseam/placement.hpp
@@ -52,4 +52,17 @@
 /// \brief Makes the placement by least load over the agents that are usable.
 [[nodiscard]] std::unique_ptr<placement> make_least_load_placement();
 
+/// \brief Makes the placement that compares a few sampled agents by waiting, prefill
+/// saved by the cache and transfer across failure domains, as the policy weighs them.
+/// \param seed Of the samples; processes should differ.
+[[nodiscard]] std::unique_ptr<placement> make_weighted_placement(std::uint64_t seed);
+
+/// \brief Returns the weights for goodput and the worst-served workspace first: waiting
+/// counts more than prefill saved.
+[[nodiscard]] policy_config kalahari_policy();
+
+/// \brief Returns the weights for long shared prompts: prefill saved counts more than
+/// waiting.
+[[nodiscard]] policy_config kessler_policy();
+
 } // namespace agateseam
--- /dev/null
+++ b/src/core/cache_digest.cpp
@@ -0,0 +1,90 @@
+#include <agateseam/cache_digest.hpp>
+
+#include <algorithm>
+#include <bit>
+
+#include <xxhash.h>
+
+namespace agateseam
+{
+
+namespace
+{
+
+constexpr std::size_t bits_per_block = 10;
+constexpr int probes = 5;
+constexpr std::size_t word_bits = 64;
+
+/// Calls for each bit of a block until the call returns false.
+template <typename Call>
+bool for_each_bit(std::uint64_t block, std::size_t words, Call call)
+{
+    const std::uint64_t mask = words * word_bits - 1;
+    const std::uint64_t stride = (block >> 32U) | 1U;
+    std::uint64_t at = block;
+    for (int probe = 0; probe < probes; ++probe)
+    {
+        const std::uint64_t bit = at & mask;
+        if (!call(bit / word_bits, std::uint64_t{1} << (bit % word_bits)))
+        {
+            return false;
+        }
+        at += stride;
+    }
+    return true;
+}
+
+} // namespace
+
+std::vector<std::uint64_t> hash_blocks(std::string_view workspace,
+                                       std::string_view prompt, std::size_t block_bytes)
+{
+    std::vector<std::uint64_t> chain;
+    chain.reserve(prompt.size() / block_bytes);
+    std::uint64_t hash = XXH3_64bits(workspace.data(), workspace.size());
+    for (std::size_t begin = 0; begin + block_bytes <= prompt.size();
+         begin += block_bytes)
+    {
+        hash = XXH3_64bits_withSeed(prompt.data() + begin, block_bytes, hash);
+        chain.push_back(hash);
+    }
+    return chain;
+}
+
+cache_digest::cache_digest(std::span<const std::uint64_t> blocks)
+{
+    if (blocks.empty())
+    {
+        return;
+    }
+    const std::size_t bits = std::max(word_bits, blocks.size() * bits_per_block);
+    this->words.resize(std::bit_ceil(bits) / word_bits);
+    for (const std::uint64_t block : blocks)
+    {
+        for_each_bit(block, this->words.size(),
+                     [this](std::size_t word, std::uint64_t bit)
+                     {
+                         this->words[word] |= bit;
+                         return true;
+                     });
+    }
+}
+
+bool cache_digest::contains(std::uint64_t block) const noexcept
+{
+    return !this->words.empty() &&
+           for_each_bit(block, this->words.size(),
+                        [this](std::size_t word, std::uint64_t bit)
+                        { return (this->words[word] & bit) != 0; });
+}
+
+std::size_t
+cache_digest::matching_prefix(std::span<const std::uint64_t> chain) const noexcept
+{
+    const auto missing =
+        std::find_if_not(chain.begin(), chain.end(),
+                         [this](std::uint64_t block) { return this->contains(block); });
+    return static_cast<std::size_t>(missing - chain.begin());
+}
+
+} // namespace agateseam
--- /dev/null
+++ b/src/core/cache_index.cpp
@@ -0,0 +1,45 @@
+#include <agateseam/cache_index.hpp>
+
+#include <vector>
+
+namespace agateseam
+{
+
+bool cache_index::apply(std::uint64_t sequence, cache_event_kind kind,
+                        std::uint64_t block)
+{
+    if (sequence <= this->last)
+    {
+        return true;
+    }
+    const bool follows = sequence == this->last + 1;
+    if (!follows)
+    {
+        this->blocks.clear();
+        ++this->gap_count;
+    }
+    this->last = sequence;
+    if (kind == cache_event_kind::stored)
+    {
+        this->blocks.insert(block);
+    }
+    else
+    {
+        this->blocks.erase(block);
+    }
+    return follows;
+}
+
+void cache_index::reset() noexcept
+{
+    this->blocks.clear();
+    this->last = 0;
+}
+
+cache_digest cache_index::digest() const
+{
+    const std::vector<std::uint64_t> held(this->blocks.begin(), this->blocks.end());
+    return cache_digest(held);
+}
+
+} // namespace agateseam
