--- /dev/null
+++ b/bench/policy_figures.cpp
@@ -0,0 +1,125 @@
+#include <bench/policy_figures.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <unordered_set>
+
+namespace agateseam::bench
+{
+
+namespace
+{
+
+/// Shares a capacity so that nobody gets more than it asked for, the rest equally.
+std::vector<double> share_out(const std::vector<double>& wanted, double capacity)
+{
+    std::vector<double> shares(wanted.size());
+    std::vector<std::size_t> order(wanted.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(),
+              [&](std::size_t left, std::size_t right)
+              { return wanted[left] < wanted[right]; });
+    for (std::size_t index = 0; index < order.size(); ++index)
+    {
+        const double equal = capacity / static_cast<double>(order.size() - index);
+        shares[order[index]] = std::min(wanted[order[index]], equal);
+        capacity -= shares[order[index]];
+    }
+    return shares;
+}
+
+bool is_good(const scenario& plan, const traced_request& request,
+             const request_outcome& outcome)
+{
+    if (outcome.left_out || outcome.first_token < 0 || outcome.last_token < 0)
+    {
+        return false;
+    }
+    const double gap = (outcome.last_token - outcome.first_token) /
+                       std::max(1U, request.output_tokens - 1);
+    return outcome.first_token <= plan.policy.first_token_limit &&
+           gap <= plan.policy.token_gap_limit;
+}
+
+double slot_seconds(const scenario& plan)
+{
+    const double end = plan.length + plan.policy.first_token_limit +
+                       plan.longest_output * plan.token_gap;
+    double seconds = end * plan.decodes * plan.slots;
+    if (plan.decode_lost)
+    {
+        seconds -= (end - *plan.decode_lost) * plan.slots;
+    }
+    return seconds;
+}
+
+} // namespace
+
+run_ceiling find_ceiling(const scenario& plan, const std::vector<traced_request>& trace)
+{
+    std::unordered_set<std::uint64_t> seen;
+    std::vector<double> wanted(plan.workloads.size());
+    for (const traced_request& request : trace)
+    {
+        double computed = request.prompt_tokens;
+        for (const std::uint64_t block : request.blocks)
+        {
+            computed -= seen.insert(block).second ? 0 : block_size;
+        }
+        const double least = std::max(0.0, computed) / plan.prefill_rate +
+                             request.prompt_tokens / plan.link_rate + plan.token_gap;
+        const bool possible = least <= plan.policy.first_token_limit;
+        if (possible && !is_left_out(plan, request))
+        {
+            wanted[request.workload] += request.output_tokens;
+        }
+    }
+    run_ceiling ceiling;
+    const double capacity = slot_seconds(plan) / plan.token_gap;
+    ceiling.tokens =
+        std::min(capacity, std::accumulate(wanted.begin(), wanted.end(), 0.0));
+    ceiling.fair_share = share_out(wanted, capacity);
+    return ceiling;
+}
+
+run_figures judge(const scenario& plan, const std::vector<traced_request>& trace,
+                  const run_outcome& outcome, const run_ceiling& ceiling)
+{
+    run_figures figures;
+    std::vector<double> served(plan.workloads.size());
+    for (std::size_t index = 0; index < trace.size(); ++index)
+    {
+        const request_outcome& one = outcome.requests[index];
+        if (is_good(plan, trace[index], one))
+        {
+            served[trace[index].workload] += trace[index].output_tokens;
+        }
+        else if (!one.refusal.empty())
+        {
+            ++figures.refusals[one.refusal];
+        }
+        else if (!one.left_out)
+        {
+            (one.last_token >= 0 ? figures.late : figures.unfinished) += 1;
+        }
+    }
+    const double total = std::accumulate(served.begin(), served.end(), 0.0);
+    figures.goodput = total / plan.length;
+    figures.goodput_share = total / ceiling.tokens;
+    figures.wasted_prefill =
+        outcome.prefill_tokens > 0 ? outcome.wasted_tokens / outcome.prefill_tokens : 0;
+    figures.worst_workspace = 1e9;
+    for (std::size_t index = 0; index < served.size(); ++index)
+    {
+        const double share = served[index] / std::max(1.0, ceiling.fair_share[index]);
+        if (share < figures.worst_workspace)
+        {
+            figures.worst_workspace = share;
+            figures.worst_name = plan.workloads[index].workspace;
+        }
+    }
+    figures.slots_left = outcome.slots_left;
+    return figures;
+}
+
+} // namespace agateseam::bench
--- /dev/null
+++ b/bench/policy_run.cpp
@@ -0,0 +1,415 @@
+#include <bench/policy_run.hpp>
+
+#include <algorithm>
+
+namespace agateseam::bench
+{
+
+namespace
+{
+
+constexpr std::uint32_t most_attempts = 3;
+constexpr double renew_interval = 1; // seconds
+constexpr double silence_limit = 2;  // seconds
+
+std::chrono::nanoseconds to_span(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+double to_seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+scheduler_options options_of(const scenario& plan, bool prefill)
+{
+    scheduler_options options;
+    options.slots = prefill ? 1 : plan.slots;
+    options.kv_lifetime = to_span(kv_lifetime);
+    return options;
+}
+
+std::string domain_name(std::uint32_t domain)
+{
+    return "domain-" + std::to_string(domain);
+}
+
+} // namespace
+
+policy_run::policy_run(const scenario& chosen,
+                       const std::vector<traced_request>& requests,
+                       const policy_features& wanted, std::uint64_t seed)
+    : plan(&chosen)
+    , trace(&requests)
+    , features(wanted)
+{
+    const std::uint32_t count = chosen.prefills + chosen.decodes;
+    for (std::uint32_t index = 0; index < count; ++index)
+    {
+        const bool prefill = index < chosen.prefills;
+        const std::uint32_t place = prefill ? index : index - chosen.prefills;
+        const auto kind = prefill ? backend_kind::prefill : backend_kind::decode;
+        this->agents.push_back({"agent-" + std::to_string(index),
+                                place % chosen.domains,
+                                kind,
+                                *agent_scheduler::create(options_of(chosen, prefill)),
+                                std::make_unique<work_estimator>(
+                                    to_span(0.039), to_span(1 / chosen.prefill_rate)),
+                                {prefix_cache(chosen.cache_blocks)}});
+    }
+    this->outcome.requests.resize(requests.size());
+    for (std::uint32_t index = 0; index < chosen.entries; ++index)
+    {
+        modelled_entry entry;
+        entry.domain = index % chosen.domains;
+        entry.placer = make_weighted_placement(seed * 1'000 + index);
+        for (const modelled_agent& agent : this->agents)
+        {
+            auto known = std::make_shared<member>();
+            known->vm = agent.vm;
+            known->failure_domain = domain_name(agent.domain);
+            entry.members.all.push_back(std::move(known));
+        }
+        this->entries.push_back(std::move(entry));
+    }
+}
+
+run_outcome policy_run::run()
+{
+    for (std::uint32_t entry = 0; entry < this->plan->entries; ++entry)
+    {
+        for (std::uint32_t agent = 0; agent < this->agents.size(); ++agent)
+        {
+            this->report_to(entry, agent);
+        }
+    }
+    this->heartbeat();
+    this->renew();
+    for (const traced_request& request : *this->trace)
+    {
+        this->events.at(request.at, [this, &request] { this->arrive(request); });
+    }
+    if (this->plan->decode_lost)
+    {
+        this->events.at(*this->plan->decode_lost,
+                        [this] { this->lose_agent(this->plan->prefills + lost_engine); });
+    }
+    if (this->plan->entry_lost)
+    {
+        this->events.at(*this->plan->entry_lost,
+                        [this] { this->entries[lost_entry].lost = true; });
+    }
+    if (this->plan->entry_paused)
+    {
+        this->events.at(*this->plan->entry_paused,
+                        [this] { this->entries[lost_entry].silent = true; });
+        this->events.at(*this->plan->entry_paused + pause_length,
+                        [this] { this->entries[lost_entry].silent = false; });
+    }
+    this->events.run_until(this->plan->length + drain_time);
+    for (auto& [number, request] : this->live)
+    {
+        this->waste(request);
+    }
+    for (const modelled_agent& agent : this->agents)
+    {
+        const scheduler_load load = agent.scheduler.load();
+        this->outcome.slots_left += agent.lost ? 0 : load.used + load.queued;
+    }
+    return std::move(this->outcome);
+}
+
+void policy_run::arrive(const traced_request& request)
+{
+    live_request& added = this->live[request.number];
+    added.trace = &request;
+    added.outcome = &this->outcome.requests[request.number - 1];
+    added.outcome->left_out = is_left_out(*this->plan, request);
+    added.entry = live_entry(*this->plan, request);
+    this->attempt(added);
+}
+
+void policy_run::attempt(live_request& request)
+{
+    modelled_entry& entry = this->entries[request.entry];
+    placement_request wanted;
+    wanted.pool = "drafting";
+    wanted.workspace = this->plan->workloads[request.trace->workload].workspace;
+    wanted.failure_domain = domain_name(entry.domain);
+    wanted.prompt_tokens = request.trace->prompt_tokens + request.delivered;
+    wanted.output_tokens = this->plan->output_limit;
+    wanted.excluded = request.excluded;
+    if (this->features.prefix)
+    {
+        wanted.blocks = request.trace->blocks;
+    }
+    auto choice = entry.placer->choose(wanted, entry.members, this->plan->policy);
+    if (!choice)
+    {
+        request.open = false;
+        request.outcome->refusal = "no_agent";
+        return;
+    }
+    this->prefer_session(*choice, entry, request);
+    for (std::uint32_t index = 0; index < this->agents.size(); ++index)
+    {
+        request.prefill =
+            this->agents[index].vm == choice->prefill->vm ? index : request.prefill;
+        request.decode =
+            this->agents[index].vm == choice->decode->vm ? index : request.decode;
+    }
+    const std::uint32_t attempt = ++request.attempt;
+    request.resumed = request.delivered;
+    this->events.after(this->delay(entry.domain, this->agents[request.decode].domain),
+                       [this, &request, attempt]
+                       { this->submit_decode(request, attempt); });
+}
+
+/// Takes the agent that served the session, unless it is busy.
+void policy_run::prefer_session(placement_choice& choice, modelled_entry& entry,
+                                const live_request& request) const
+{
+    if (!this->features.session)
+    {
+        return;
+    }
+    const auto bound = entry.sessions.find(request.trace->session);
+    for (const auto& agent : entry.members.all)
+    {
+        const double waiting =
+            static_cast<double>(agent->queued_tokens + agent->sent_tokens);
+        const bool busy = waiting > this->plan->prefill_rate * 0.2;
+        if (bound != entry.sessions.end() && agent->vm == bound->second && !busy &&
+            agent->usable() &&
+            std::find(request.excluded.begin(), request.excluded.end(), agent->vm) ==
+                request.excluded.end())
+        {
+            choice.prefill = agent;
+        }
+    }
+    entry.sessions[request.trace->session] = choice.prefill->vm;
+}
+
+/// An attempt was refused before its decode: another agent may still take it.
+void policy_run::refused(live_request& request, const std::string& reason,
+                         const std::string& vm)
+{
+    const modelled_entry& entry = this->entries[request.entry];
+    if (entry.lost || entry.silent)
+    {
+        return;
+    }
+    request.excluded.push_back(vm);
+    const bool late =
+        request.delivered == 0 && this->events.now() > this->latest_start(request);
+    if (request.attempt >= most_attempts || late)
+    {
+        request.open = false;
+        request.outcome->refusal = late ? "late" : reason;
+        return;
+    }
+    this->attempt(request);
+}
+
+void policy_run::report_to(std::uint32_t entry, std::uint32_t agent)
+{
+    modelled_agent& source = this->agents[agent];
+    member& known = *this->entries[entry].members.all[agent];
+    load_report report;
+    report.vm = source.vm;
+    report.sequence = ++source.report_sequence;
+    report.incarnation = 1;
+    report.kind = source.kind;
+    report.pool = "drafting";
+    const scheduler_load load = source.scheduler.load();
+    report.slots = source.kind == backend_kind::prefill ? 1 : this->plan->slots;
+    report.used = load.used;
+    report.queued = load.queued;
+    report.queued_tokens = static_cast<std::uint64_t>(load.queued_tokens);
+    report.tokens_per_second = this->plan->prefill_rate;
+    this->events.after(this->plan->report_lag, [this, report, &known]
+                       { known.take(report, this->events.now_point()); });
+}
+
+void policy_run::heartbeat()
+{
+    for (std::uint32_t index = 0; index < this->agents.size(); ++index)
+    {
+        const auto digest = this->agents[index].index.digest();
+        for (std::uint32_t entry = 0; entry < this->entries.size(); ++entry)
+        {
+            member& known = *this->entries[entry].members.all[index];
+            if (!this->agents[index].lost)
+            {
+                this->report_to(entry, index);
+                known.cache.publish(std::make_unique<cache_digest>(digest));
+            }
+            const time_point heard{duration{known.heard.load()}};
+            known.silent =
+                known.known && this->events.now_point() - heard >
+                                   to_span(silence_limit + this->plan->heartbeat);
+        }
+    }
+    this->note_progress();
+    this->events.after(this->plan->heartbeat, [this] { this->heartbeat(); });
+}
+
+/// Each entry that lives renews what it relays; a request that lapsed is tried again.
+void policy_run::renew()
+{
+    for (auto& [number, request] : this->live)
+    {
+        const modelled_entry& entry = this->entries[request.entry];
+        if (request.open && !entry.lost && !entry.silent)
+        {
+            const attempt_id id = id_of(request);
+            const time_point now = this->events.now_point();
+            this->agents[request.decode].scheduler.renew(id, now);
+            this->agents[request.prefill].scheduler.renew(id, now);
+        }
+    }
+    this->events.after(renew_interval, [this] { this->renew(); });
+}
+
+void policy_run::drive(std::uint32_t agent)
+{
+    modelled_agent& target = this->agents[agent];
+    if (target.lost)
+    {
+        return;
+    }
+    for (const slot_event& event : target.scheduler.advance(this->events.now_point()))
+    {
+        if (target.kind == backend_kind::prefill)
+        {
+            this->prefill_event(agent, event);
+        }
+        else
+        {
+            this->decode_event(agent, event);
+        }
+    }
+    const time_point now = this->events.now_point();
+    const duration rest =
+        std::max<duration>(target.scheduler.next_wake(now) - now, to_span(0.001));
+    const double wake = this->events.now() + to_seconds(rest);
+    if (target.next_wake <= this->events.now() || wake < target.next_wake)
+    {
+        target.next_wake = wake;
+        this->events.at(wake, [this, agent] { this->drive(agent); });
+    }
+}
+
+void policy_run::lose_agent(std::uint32_t agent)
+{
+    this->agents[agent].lost = true;
+    std::vector<std::uint64_t> hit;
+    for (auto& [number, request] : this->live)
+    {
+        if (request.open && request.decode == agent)
+        {
+            hit.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : hit)
+    {
+        live_request& request = this->live.at(number);
+        if (request.decode_begin >= 0 && this->events.now() > request.decode_begin)
+        {
+            const double since = this->events.now() - request.decode_begin;
+            request.delivered =
+                std::min(request.trace->output_tokens - 1,
+                         request.resumed + 1 +
+                             static_cast<std::uint32_t>(since / this->plan->token_gap));
+        }
+        request.decode_begin = -1;
+        this->events.after(silence_limit,
+                           [this, &request, agent]
+                           {
+                               this->waste(request);
+                               this->refused(request, "engine_lost",
+                                             this->agents[agent].vm);
+                           });
+    }
+}
+
+void policy_run::waste(live_request& request)
+{
+    this->outcome.wasted_tokens += request.computed;
+    request.computed = 0;
+}
+
+void policy_run::free_slot(std::uint32_t agent, const live_request& request, double used)
+{
+    this->agents[agent].scheduler.release(id_of(request), used);
+    this->agents[agent].owners.erase(id_of(request));
+    this->drive(agent);
+}
+
+live_request* policy_run::find(std::uint32_t agent, const attempt_id& id)
+{
+    const auto found = this->agents[agent].owners.find(id);
+    const auto owner = found == this->agents[agent].owners.end()
+                           ? this->live.end()
+                           : this->live.find(found->second);
+    const bool current = owner != this->live.end() && id_of(owner->second) == id;
+    return current ? &owner->second : nullptr;
+}
+
+attempt_id policy_run::id_of(const live_request& request)
+{
+    return {"r" + std::to_string(request.trace->number), request.attempt};
+}
+
+/// The latest time at which its slot may begin to be used.
+double policy_run::latest_start(const live_request& request) const
+{
+    if (request.delivered > 0)
+    {
+        return this->plan->length + drain_time;
+    }
+    return request.trace->at + this->plan->policy.first_token_limit -
+           this->plan->token_gap - this->transfer_time(request);
+}
+
+double policy_run::transfer_time(const live_request& request) const
+{
+    const bool crosses =
+        this->agents[request.prefill].domain != this->agents[request.decode].domain;
+    return request.trace->prompt_tokens /
+           (crosses ? this->plan->crossing_rate : this->plan->link_rate);
+}
+
+double policy_run::delay(std::uint32_t left, std::uint32_t right) const
+{
+    return left == right ? hop_delay / 10 : hop_delay;
+}
+
+time_point policy_run::to_point(double when) const
+{
+    return this->events.now_point() + to_span(when - this->events.now());
+}
+
+std::uint32_t policy_run::cached_blocks(const live_request& request) const
+{
+    std::uint32_t hits = 0;
+    const modelled_agent& agent = this->agents[request.prefill];
+    for (const std::uint64_t block : request.trace->blocks)
+    {
+        if (!agent.index.contains(block))
+        {
+            break;
+        }
+        ++hits;
+    }
+    return hits;
+}
+
+run_outcome run_agateseam(const scenario& plan, const std::vector<traced_request>& trace,
+                          const policy_features& features, std::uint64_t seed)
+{
+    return policy_run(plan, trace, features, seed).run();
+}
+
+} // namespace agateseam::bench
--- /dev/null
+++ b/bench/policy_scenario.cpp
@@ -0,0 +1,242 @@
+#include <bench/policy_scenario.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+#include <pcg_random.hpp>
+
+#include <agateseam/placement.hpp>
+
+namespace agateseam::bench
+{
+
+namespace
+{
+
+constexpr std::uint32_t block_tokens = 1'000;
+constexpr std::size_t sessions_kept = 64; // of a workspace, that may go on
+constexpr double burst_period = 10;       // seconds
+constexpr double burst_factor = 4;
+
+scenario kalahari()
+{
+    scenario made;
+    made.customer = "kalahari";
+    made.workloads = {{"oshana", 4, 500, 6'000, 0, 0.2},
+                      {"swakop", 3, 500, 6'000, 0, 0.2},
+                      {"dune", 2, 500, 6'000, 0, 0.2},
+                      {"crumb", 0.7, 500, 6'000, 0, 0.2},
+                      {"kalahari", 0.3, 500, 6'000, 0, 0.2}};
+    made.policy = kalahari_policy();
+    return made;
+}
+
+scenario kessler()
+{
+    scenario made;
+    made.customer = "kessler";
+    made.prefills = 7;
+    made.decodes = 5;
+    made.domains = 3;
+    made.shortest_output = 60;
+    made.longest_output = 180;
+    made.output_limit = 250;
+    made.workloads = {{"caesium", 4, 1'000, 6'000, 2, 0.1},
+                      {"maser", 3, 1'000, 6'000, 2, 0.1},
+                      {"broadcast", 2, 1'000, 6'000, 2, 0.1},
+                      {"lab", 0.7, 1'000, 6'000, 2, 0.1},
+                      {"archive", 0.3, 1'000, 6'000, 2, 0.1}};
+    made.policy = kessler_policy();
+    return made;
+}
+
+std::vector<scenario> variants(const scenario& base)
+{
+    const double middle = base.length / 2;
+    std::vector<scenario> list;
+    const auto add = [&](const char* name) -> scenario&
+    {
+        list.push_back(base);
+        list.back().name = name;
+        return list.back();
+    };
+    add("steady_peak");
+    add("hot_tenant").hot_factor = 5;
+    scenario& bursts = add("bursts");
+    bursts.bursts = true;
+    bursts.load = 0.7;
+    scenario& reuse = add("long_prefix_reuse");
+    for (workload& item : reuse.workloads)
+    {
+        item.preamble_blocks = 6;
+        item.longest_prompt = 4'000;
+    }
+    scenario& links = add("slow_links");
+    links.link_rate = 80'000;
+    links.crossing_rate = 40'000;
+    scenario& lagged = add("lagged_load");
+    lagged.heartbeat = 2;
+    lagged.report_lag = 1;
+    lagged.piggyback = false;
+    add("engine_lost").decode_lost = middle;
+    add("entry_lost").entry_lost = middle;
+    add("entry_paused").entry_paused = middle;
+    scenario& outage = add("store_outage");
+    outage.list_frozen = true;
+    outage.decode_lost = middle;
+    return list;
+}
+
+/// Draws the requests of one trace.
+class trace_maker
+{
+  public:
+    trace_maker(const scenario& chosen, std::uint64_t seed)
+        : plan(&chosen)
+        , random(seed)
+        , sessions(chosen.workloads.size())
+    {
+    }
+
+    std::vector<traced_request> make()
+    {
+        std::vector<traced_request> trace;
+        double at = 0;
+        while (true)
+        {
+            at += this->gap(at);
+            if (at >= this->plan->length)
+            {
+                return trace;
+            }
+            trace.push_back(this->draw(at, trace.size() + 1));
+        }
+    }
+
+  private:
+    double uniform() { return std::generate_canonical<double, 32>(this->random); }
+
+    double gap(double at)
+    {
+        const double mean_output =
+            0.5 * (this->plan->shortest_output + this->plan->longest_output);
+        double rate = this->plan->load * this->plan->decodes * this->plan->slots /
+                      (mean_output * this->plan->token_gap);
+        rate *= this->total_share() / this->base_share();
+        const bool burst = std::fmod(at, burst_period) >= burst_period - 1;
+        if (this->plan->bursts && burst)
+        {
+            rate *= burst_factor;
+        }
+        return -std::log(1 - this->uniform()) / rate;
+    }
+
+    [[nodiscard]] double share_of(std::size_t index) const
+    {
+        const double share = this->plan->workloads[index].share;
+        return index == 0 ? share * this->plan->hot_factor : share;
+    }
+
+    [[nodiscard]] double total_share() const
+    {
+        double total = 0;
+        for (std::size_t index = 0; index < this->plan->workloads.size(); ++index)
+        {
+            total += this->share_of(index);
+        }
+        return total;
+    }
+
+    [[nodiscard]] double base_share() const
+    {
+        double total = 0;
+        for (const workload& item : this->plan->workloads)
+        {
+            total += item.share;
+        }
+        return total;
+    }
+
+    std::uint32_t between(std::uint32_t least, std::uint32_t most)
+    {
+        return least + this->random(most - least + 1);
+    }
+
+    traced_request draw(double at, std::uint64_t number)
+    {
+        traced_request request;
+        request.number = number;
+        request.at = at;
+        request.entry = this->random(this->plan->entries);
+        double pick = this->uniform() * this->total_share();
+        while (pick > this->share_of(request.workload) &&
+               request.workload + 1 < this->plan->workloads.size())
+        {
+            pick -= this->share_of(request.workload);
+            ++request.workload;
+        }
+        request.output_tokens =
+            this->between(this->plan->shortest_output, this->plan->longest_output);
+        this->draw_prompt(request);
+        return request;
+    }
+
+    void draw_prompt(traced_request& request)
+    {
+        const workload& source = this->plan->workloads[request.workload];
+        auto& known = this->sessions[request.workload];
+        const bool repeats = !known.empty() && this->uniform() < source.repeats;
+        if (repeats)
+        {
+            const auto& earlier =
+                known[this->random(static_cast<std::uint32_t>(known.size()))];
+            request.session = earlier.session;
+            request.blocks = earlier.blocks;
+            request.prompt_tokens =
+                earlier.prompt_tokens + this->between(50, block_tokens / 2);
+        }
+        else
+        {
+            request.session = request.number;
+            request.prompt_tokens =
+                source.preamble_blocks * block_tokens +
+                this->between(source.shortest_prompt, source.longest_prompt);
+            for (std::uint32_t block = 0; block < source.preamble_blocks; ++block)
+            {
+                request.blocks.push_back((request.workload + 1) * 1'000'003ULL + block);
+            }
+        }
+        while ((request.blocks.size() + 1) * block_tokens <= request.prompt_tokens)
+        {
+            request.blocks.push_back((std::uint64_t{this->random()} << 32U) |
+                                     this->random());
+        }
+        known.push_back(request);
+        if (known.size() > sessions_kept)
+        {
+            known.erase(known.begin());
+        }
+    }
+
+    const scenario* plan;
+    pcg32 random;
+    std::vector<std::vector<traced_request>> sessions; ///< By workload.
+};
+
+} // namespace
+
+std::vector<scenario> all_scenarios()
+{
+    std::vector<scenario> list = variants(kalahari());
+    const std::vector<scenario> more = variants(kessler());
+    list.insert(list.end(), more.begin(), more.end());
+    return list;
+}
+
+std::vector<traced_request> make_trace(const scenario& chosen, std::uint64_t seed)
+{
+    return trace_maker(chosen, seed).make();
+}
+
+} // namespace agateseam::bench
