--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -6,6 +6,8 @@
 #include <agateseam/allowance.hpp>
 #include <agateseam/claim.hpp>
 #include <agateseam/claim_ledger.hpp>
+#include <agateseam/cache_digest.hpp>
+#include <agateseam/cache_index.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
 #include <agateseam/event.hpp>
@@ -27,3 +29,4 @@
 #include <agateseam/usage_ledger.hpp>
 #include <agateseam/usage_meter.hpp>
 #include <agateseam/version.hpp>
+#include <agateseam/work_estimator.hpp>
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -41,6 +41,7 @@
         this->members.reset();
         this->server.reset();
         this->context->claims->stop();
+        this->context->renewer->stop();
         this->context->client.reset();
     }
     entry(const entry&) = delete;
