Configuration: stale patches say what changed, lost answers are resolved by id

Change: config_store in the library. An index object with number, history (64 patches with id, time, note, paths, diff) and references to chunk objects, which hold the workspaces by hash, are written first under names used once, and never change. Merge patch and JSON Patch by content type; history and the number in force on an entry over the operators' interface.

--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -35,6 +35,21 @@
 class claim_shard;
 class claim_ledger;
 
+// The numbered configuration.
+struct configuration;
+struct config_change;
+struct config_state;
+struct config_patch;
+struct patch_outcome;
+class config_store;
+
+// Allowances.
+struct admission_decision;
+struct allowance_terms;
+class admission;
+class static_admission;
+class allowance;
+
 // Requests.
 enum class run_state : std::uint8_t;
 enum class backend_kind : std::uint8_t;
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -48,7 +48,9 @@
         return tl::unexpected<error>(claims.error());
     }
     context->claims = std::move(*claims);
-    auto allowance = static_admission::create(context->time, 1);
+    context->configs =
+        config_store::create(*context->store, context->time, context->next_request_id());
+    auto allowance = static_admission::create(context->time, 0);
     if (!allowance)
     {
         return tl::unexpected<error>(allowance.error());
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -9,7 +9,7 @@
 
 #include <agateseam/api_key.hpp>
 #include <agateseam/claim_ledger.hpp>
-#include <agateseam/configuration.hpp>
+#include <agateseam/config_store.hpp>
 #include <agateseam/member.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/placement.hpp>
@@ -70,6 +70,7 @@
     std::unique_ptr<http_client> client;
     std::unique_ptr<object_store> store;
     std::unique_ptr<claim_ledger> claims;
+    std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
     std::atomic<bool> leaving{false};
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -4,8 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <agateseam/impl/config_index.hpp>
 #include <daemon/api_error.hpp>
-#include <daemon/config_controller.hpp>
 
 namespace agateseam
 {
@@ -15,6 +15,9 @@
 
 using json = nlohmann::json;
 
+constexpr std::string_view json_patch_type = "application/json-patch+json";
+constexpr int status_conflict = 409;
+
 bool is_operator(const entry_context& context, const http_request& request)
 {
     constexpr std::string_view scheme = "Bearer ";
@@ -23,16 +26,124 @@
            equal_secrets(header.substr(scheme.size()), context.settings.operator_token);
 }
 
-void answer(http_exchange& exchange, const result<stored_configuration>& outcome)
+void respond_json(http_exchange& exchange, int status, const json& body)
 {
-    if (!outcome)
+    exchange.respond(status, {{"Content-Type", "application/json"}},
+                     body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+void refuse(http_exchange& exchange, const error& fault, run_state run)
+{
+    respond(exchange, to_api_error(fault, run));
+}
+
+void respond_state(http_exchange& exchange, const config_state& state,
+                   std::uint64_t number)
+{
+    const json document = state.document.empty() ? json() : json::parse(state.document);
+    respond_json(exchange, 200, {{"number", number}, {"document", document}});
+}
+
+/// Names the current number and what differs since the number that the patch was made
+/// against.
+void respond_stale(http_exchange& exchange, const patch_outcome& outcome)
+{
+    std::string message =
+        "the configuration is now at number " + std::to_string(outcome.number);
+    for (std::size_t index = 0; index < outcome.changed.size(); ++index)
     {
-        respond(exchange, to_api_error(outcome.error(), run_state::not_run));
+        message += (index == 0 ? "; changed since: " : ", ") + outcome.changed[index];
+    }
+    respond_json(exchange, status_conflict,
+                 {{"error",
+                   {{"message", message},
+                    {"type", "invalid_request_error"},
+                    {"code", "conflict"},
+                    {"param", nullptr},
+                    {"step", "patch configuration"},
+                    {"run", to_string(run_state::not_run)}}},
+                  {"number", outcome.number},
+                  {"changed", outcome.changed},
+                  {"changed_known", outcome.changed_known}});
+}
+
+void get_config(entry_context& context, http_exchange& exchange)
+{
+    const auto state = context.configs->read();
+    if (!state)
+    {
+        refuse(exchange, state.error(), run_state::not_run);
+        return;
+    }
+    respond_state(exchange, *state, state->number);
+}
+
+void get_history(entry_context& context, http_exchange& exchange)
+{
+    const auto state = context.configs->read();
+    if (!state)
+    {
+        refuse(exchange, state.error(), run_state::not_run);
         return;
     }
-    const json body{{"number", outcome->number},
-                    {"document", json::parse(outcome->document)}};
-    exchange.respond(200, {{"Content-Type", "application/json"}}, body.dump());
+    json changes = json::array();
+    for (const config_change& change : state->history)
+    {
+        changes.push_back(impl::to_json(change));
+    }
+    respond_json(exchange, 200, {{"number", state->number}, {"changes", changes}});
+}
+
+/// Tells which configuration this entry goes by, as opposed to the store's.
+void get_state(const entry_context& context, http_exchange& exchange)
+{
+    const auto view = context.board.config.read();
+    respond_json(exchange, 200, {{"number", view ? view->current.number : 0}});
+}
+
+result<config_patch> read_patch(entry_context& context, const http_request& request)
+{
+    const std::string text = request.query_argument("against");
+    config_patch wanted;
+    const auto end =
+        std::from_chars(text.data(), text.data() + text.size(), wanted.against);
+    if (end.ec != std::errc{} || end.ptr != text.data() + text.size())
+    {
+        return fail(error_code::invalid, "patch configuration", "",
+                    "the query must say against=NUMBER");
+    }
+    wanted.id = request.header("x-patch-id");
+    if (wanted.id.empty())
+    {
+        wanted.id = context.next_request_id();
+    }
+    wanted.note = request.query_argument("note");
+    wanted.format = request.header("Content-Type").starts_with(json_patch_type)
+                        ? patch_format::json_patch
+                        : patch_format::merge_patch;
+    wanted.text = request.body;
+    return wanted;
+}
+
+void patch_config(entry_context& context, http_exchange& exchange)
+{
+    const auto wanted = read_patch(context, exchange.request());
+    const auto outcome =
+        wanted ? context.configs->patch(*wanted) : tl::unexpected<error>(wanted.error());
+    if (!outcome)
+    {
+        const bool unknown = outcome.error().code == error_code::timeout;
+        refuse(exchange, outcome.error(),
+               unknown ? run_state::unknown : run_state::not_run);
+    }
+    else if (outcome->verdict == patch_verdict::stale)
+    {
+        respond_stale(exchange, *outcome);
+    }
+    else
+    {
+        respond_state(exchange, outcome->current, outcome->number);
+    }
 }
 
 } // namespace
@@ -40,30 +151,34 @@
 void serve_operator(entry_context& context, std::shared_ptr<http_exchange> exchange)
 {
     const http_request& request = exchange->request();
+    const bool reads = request.method == "GET";
     if (!is_operator(context, request))
     {
-        respond(*exchange, to_api_error({error_code::unauthorized, "operator", "",
-                                         "the operator token is missing or wrong"},
-                                        run_state::not_run));
+        refuse(*exchange,
+               {error_code::unauthorized, "operator", "",
+                "the operator token is missing or wrong"},
+               run_state::not_run);
     }
-    else if (request.path == "/operator/config" && request.method == "GET")
+    else if (request.path == "/operator/config" && reads)
     {
-        answer(*exchange, read_configuration(*context.store));
+        get_config(context, *exchange);
     }
     else if (request.path == "/operator/config" && request.method == "PATCH")
     {
-        const std::string text = request.query_argument("against");
-        std::uint64_t against = 0;
-        std::from_chars(text.data(), text.data() + text.size(), against);
-        answer(*exchange,
-               patch_configuration(*context.store, against, request.header("x-patch-id"),
-                                   request.body));
+        patch_config(context, *exchange);
+    }
+    else if (request.path == "/operator/config/history" && reads)
+    {
+        get_history(context, *exchange);
+    }
+    else if (request.path == "/operator/config/state" && reads)
+    {
+        get_state(context, *exchange);
     }
     else
     {
-        respond(*exchange,
-                to_api_error({error_code::not_found, "operator", "", "no such operation"},
-                             run_state::not_run));
+        refuse(*exchange, {error_code::not_found, "operator", "", "no such operation"},
+               run_state::not_run);
     }
 }
 
