Relay of configurations: who watches, who waits at whom, when to stop admitting

Cause: every entry watches the store, so waiting watches grow with the fleet.

Change: a sans-IO relay: two entries of a domain watch, the others wait at one ranked before them (fanout 8), everyone probes a peer in turn; word of being current carries its age, and an entry without it and without half of its peers stops admitting.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -7,6 +7,7 @@
 #include <agateseam/claim.hpp>
 #include <agateseam/claim_ledger.hpp>
 #include <agateseam/clock.hpp>
+#include <agateseam/config_relay.hpp>
 #include <agateseam/config_store.hpp>
 #include <agateseam/configuration.hpp>
 #include <agateseam/error.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -42,6 +42,11 @@
 struct config_patch;
 struct patch_outcome;
 class config_store;
+struct peer_record;
+struct peer_word;
+struct config_step;
+struct config_relay_options;
+class config_relay;
 
 // Allowances.
 struct admission_decision;
