Relay: entries wait at peers for configurations, and stop admitting when cut off

GET /peer/config (fleet secret) holds a peer's call until there is news and answers with the diffs since its number, or the whole; the receiver checks the result's hash. Admission is a lease of 2 s that the prober renews, so a process that was paused through a withdrawal finds it over. /readyz needs a configuration that is known to be current.

--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -14,6 +14,31 @@
 class clock_source;
 class steady_clock_source;
 class manual_clock;
+struct hybrid_time;
+class hybrid_clock;
+
+// Events.
+enum class event_kind : std::uint8_t;
+struct event_note;
+struct event;
+class event_log;
+
+// Usage.
+struct usage_counters;
+struct usage_key;
+struct usage_batch;
+struct usage_receipt;
+class usage_meter;
+class usage_outbox;
+class usage_hour;
+class usage_ledger;
+
+// Metrics.
+class metric_counter;
+class metric_quantiles;
+class metric_writer;
+struct workspace_service;
+class service_watch;
 
 // Shared state.
 template <typename T>
@@ -26,6 +51,13 @@
 struct object_event;
 class object_store;
 
+// Allowances.
+struct admission_decision;
+struct allowance_terms;
+class admission;
+class static_admission;
+class allowance;
+
 // Claims on calls that may not be repeated.
 enum class claim_verdict : std::uint8_t;
 struct call_outcome;
@@ -48,17 +80,18 @@
 struct config_relay_options;
 class config_relay;
 
-// Allowances.
-struct admission_decision;
-struct allowance_terms;
-class admission;
-class static_admission;
-class allowance;
-
 // Requests.
 enum class run_state : std::uint8_t;
 enum class backend_kind : std::uint8_t;
 struct attempt_id;
 struct load_report;
 
+// The work of one backend server.
+class agent_scheduler;
+class fair_queue;
+struct scheduler_load;
+struct scheduler_options;
+struct slot_event;
+struct slot_request;
+
 } // namespace agateseam
--- a/src/daemon/config_controller.cpp
+++ b/src/daemon/config_controller.cpp
@@ -8,70 +8,176 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds watch_wait{2'000};
+constexpr milliseconds watch_wait{1'000};
 constexpr milliseconds retry_wait{200};
+constexpr milliseconds probe_round{100};
+constexpr milliseconds admission_lease{2'000}; // outlives a slow round of probes
 
 } // namespace
 
 config_controller::config_controller(entry_context& shared)
     : context(&shared)
     , configs(config_store::create(*shared.store, shared.time, shared.next_request_id()))
-    , worker([this] { this->run(); })
+    , follower([this] { this->follow(); })
+    , prober([this] { this->probe(); })
 {
 }
 
 config_controller::~config_controller()
 {
-    this->stopping = true;
-    this->worker.join();
+    {
+        const std::scoped_lock hold(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    this->follower.join();
+    this->prober.join();
+}
+
+void config_controller::follow()
+{
+    std::unique_lock hold(this->mutex);
+    while (!this->stopping)
+    {
+        hold.unlock();
+        const config_step step =
+            this->context->relay->next_step(this->context->time.now());
+        const bool done =
+            step.at_store ? this->follow_store() : this->ask(step.peer, watch_wait);
+        hold.lock();
+        if (!done)
+        {
+            this->wake.wait_for(hold, retry_wait);
+        }
+    }
 }
 
-void config_controller::run()
+void config_controller::probe()
 {
+    std::unique_lock hold(this->mutex);
     while (!this->stopping)
     {
-        const auto record =
-            this->context->store->watch(config_key, this->version, watch_wait);
-        const bool taken = record && (!*record || this->refresh());
-        if (!taken)
+        hold.unlock();
+        this->context->peers->expire();
+        const auto peer = this->context->relay->next_probe(this->context->time.now());
+        if (peer)
         {
-            std::this_thread::sleep_for(retry_wait);
+            static_cast<void>(this->ask(*peer, milliseconds(0)));
         }
+        this->renew_admission();
+        hold.lock();
+        this->wake.wait_for(hold, probe_round);
     }
 }
 
-bool config_controller::refresh()
+/// Lets requests in for a while; a process that was paused finds its time over.
+void config_controller::renew_admission()
 {
+    const time_point now = this->context->time.now();
+    if (this->context->relay->may_admit(now))
+    {
+        this->context->admit_until = (now + admission_lease).time_since_epoch().count();
+    }
+    else
+    {
+        this->context->admit_until = 0;
+    }
+}
+
+bool config_controller::follow_store()
+{
+    const auto record =
+        this->context->store->watch(config_key, this->version, watch_wait);
+    if (!record)
+    {
+        return false;
+    }
+    if (!*record)
+    {
+        const auto own = this->context->peers->current();
+        this->context->relay->heard_store(this->context->time.now(),
+                                          own ? own->number : 0);
+        return true;
+    }
     auto state = this->configs->read();
     if (!state)
     {
         log_error("configuration not read", state.error());
         return false;
     }
-    this->version = state->version;
-    return this->take(std::move(*state));
+    const std::uint64_t read_version = state->version;
+    const std::uint64_t number = state->number;
+    if (!this->take(std::move(*state)))
+    {
+        return false;
+    }
+    this->version = read_version;
+    this->context->relay->heard_store(this->context->time.now(), number);
+    this->renew_admission();
+    return true;
 }
 
-bool config_controller::take(config_state state)
+bool config_controller::ask(const peer_record& peer, milliseconds wait)
 {
+    const auto own = this->context->peers->current();
+    const auto call = [&](std::uint64_t after)
+    {
+        return this->context->client->fetch(
+            make_peer_call(peer, this->context->settings.fleet_secret, after, wait));
+    };
+    auto reply = call(own ? own->number : 0);
+    auto answer =
+        reply && reply->status == 200
+            ? parse_peer_answer(reply->body)
+            : fail(error_code::unavailable, "relay configuration", peer.vm, "no answer");
+    if (!answer)
+    {
+        this->context->relay->peer_failed(peer.vm, this->context->time.now());
+        return false;
+    }
+    const peer_word word = answer->word;
+    if (word.number > (own ? own->number : 0))
     {
-        const auto present = this->context->board.config.read();
-        if (present && present->current.number >= state.number)
+        auto next = apply_answer(own ? *own : config_state{}, std::move(*answer));
+        if (!next)
+        {
+            reply = call(0);
+            answer = reply ? parse_peer_answer(reply->body)
+                           : tl::unexpected<error>(reply.error());
+            next = answer ? apply_answer({}, std::move(*answer))
+                          : tl::unexpected<error>(answer.error());
+        }
+        if (!next || !this->take(std::move(*next)))
         {
-            return true;
+            return false;
         }
     }
+    this->context->relay->heard_peer(peer.vm, this->context->time.now(), word);
+    return true;
+}
+
+bool config_controller::take(config_state state)
+{
+    const std::scoped_lock hold(this->taking);
+    const auto present = this->context->peers->current();
+    if (present && present->number >= state.number)
+    {
+        return true;
+    }
     auto parsed = configuration::parse(state.document, state.number);
     if (!parsed)
     {
         log_error("configuration not taken", parsed.error());
         return false;
     }
+    const std::uint64_t number = state.number;
     this->context->allowance->configure(*parsed);
     this->context->board.config.publish(
-        configuration_view::create(std::move(*parsed), std::move(state.document)));
+        configuration_view::create(std::move(*parsed), state.document));
+    this->context->relay->in_force(number);
+    this->context->peers->publish(std::make_shared<const config_state>(std::move(state)));
     log_line(log_level::info, "configuration in force",
-             {{"number", static_cast<std::int64_t>(state.number)}});
+             {{"number", static_cast<std::int64_t>(number)}});
     return true;
 }
 
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -80,14 +80,23 @@
         {
             exchange->respond(this->ready() ? 200 : 503, {}, "");
         }
+        else if (path == "/metrics")
+        {
+            exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                              this->metrics());
+        }
         else if (path.starts_with("/operator/"))
         {
             this->queue_operator(std::move(exchange));
         }
-        else if (!this->context->board.config.read())
+        else if (path == "/peer/config")
+        {
+            this->serve_peer(std::move(exchange));
+        }
+        else if (!this->context->board.config.read() || !this->context->may_admit())
         {
             respond(*exchange, to_api_error({error_code::unavailable, "receive", "",
-                                             "no configuration has arrived yet"},
+                                             "the configuration may be out of date"},
                                             run_state::not_run));
         }
         else if (path == "/v1/models")
@@ -96,7 +105,7 @@
         }
         else if (path == "/v1/chat/completions" || path == "/v1/completions")
         {
-            start_model_request(*this->context, std::move(exchange));
+            this->take_model_request(std::move(exchange));
         }
         else
         {
@@ -107,8 +116,42 @@
   private:
     [[nodiscard]] bool ready() const
     {
-        return !this->context->leaving && this->context->board.config.read() &&
-               this->context->board.members.read();
+        return !this->context->leaving && this->context->may_admit() &&
+               this->context->board.config.read() && this->context->board.members.read();
+    }
+
+    void serve_peer(std::shared_ptr<http_exchange> exchange)
+    {
+        if (!equal_secrets(exchange->request().header(headers::fleet),
+                           this->context->settings.fleet_secret))
+        {
+            respond(*exchange, to_api_error({error_code::unauthorized, "peer", "",
+                                             "the fleet secret is missing or wrong"},
+                                            run_state::not_run));
+            return;
+        }
+        this->context->peers->answer(std::move(exchange));
+    }
+
+    void take_model_request(std::shared_ptr<http_exchange> exchange)
+    {
+        if (exchange->request().method != "POST")
+        {
+            api_error refused;
+            refused.status = 405;
+            refused.code = "method_not_allowed";
+            refused.step = "receive";
+            refused.message = "use POST";
+            respond(*exchange, refused);
+            return;
+        }
+        start_model_request(*this->context, std::move(exchange));
+    }
+
+    [[nodiscard]] std::string metrics() const
+    {
+        return "# TYPE agateseam_requests_open gauge\nagateseam_requests_open " +
+               std::to_string(this->context->open) + "\n";
     }
 
     void list_models(http_exchange& exchange) const
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -15,6 +15,7 @@
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/static_admission.hpp>
+#include <daemon/config_peers.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
 #include <net/http_client.hpp>
@@ -61,6 +62,9 @@
     /// \returns the workspace's name; `unauthorized` without a valid key.
     [[nodiscard]] result<std::string> authenticate(const http_request& request) const;
 
+    /// \brief Tells whether requests may be admitted under the configuration in force.
+    [[nodiscard]] bool may_admit() const noexcept;
+
     /// \brief Takes over the load that came with an agent's answer.
     void note_load(const std::vector<http_header>& head);
 
@@ -71,8 +75,11 @@
     std::unique_ptr<object_store> store;
     std::unique_ptr<claim_ledger> claims;
     std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
+    std::unique_ptr<config_relay> relay;
+    std::unique_ptr<config_peers> peers;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
+    std::atomic<duration::rep> admit_until{0}; ///< Monotonic; 0 before the first check.
     std::atomic<bool> leaving{false};
     std::atomic<std::size_t> open{0}; ///< Requests under way.
 
