--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -4,11 +4,15 @@
 #include <agateseam/admission.hpp>
 #include <agateseam/agent_scheduler.hpp>
 #include <agateseam/allowance.hpp>
+#include <agateseam/api_key.hpp>
 #include <agateseam/claim.hpp>
 #include <agateseam/claim_ledger.hpp>
 #include <agateseam/cache_digest.hpp>
 #include <agateseam/cache_index.hpp>
 #include <agateseam/clock.hpp>
+#include <agateseam/config_relay.hpp>
+#include <agateseam/config_store.hpp>
+#include <agateseam/configuration.hpp>
 #include <agateseam/error.hpp>
 #include <agateseam/event.hpp>
 #include <agateseam/event_log.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -57,6 +57,7 @@
 class admission;
 class static_admission;
 class allowance;
+
 // Claims on calls that may not be repeated.
 enum class claim_verdict : std::uint8_t;
 struct call_outcome;
@@ -77,6 +78,19 @@
 class share_home;
 class share_holder;
 
+// The numbered configuration.
+struct configuration;
+struct config_change;
+struct config_state;
+struct config_patch;
+struct patch_outcome;
+class config_store;
+struct peer_record;
+struct peer_word;
+struct config_step;
+struct config_relay_options;
+class config_relay;
+
 // Requests.
 enum class run_state : std::uint8_t;
 enum class backend_kind : std::uint8_t;
--- a/src/daemon/config_controller.cpp
+++ b/src/daemon/config_controller.cpp
@@ -1,159 +1,184 @@
 #include <daemon/config_controller.hpp>
 
-#include <nlohmann/json.hpp>
-
 namespace agateseam
 {
 
 namespace
 {
 
-using json = nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr milliseconds watch_wait{2'000};
+constexpr milliseconds watch_wait{1'000};
 constexpr milliseconds retry_wait{200};
+constexpr milliseconds probe_round{100};
+constexpr milliseconds admission_lease{2'000}; // outlives a slow round of probes
+
+} // namespace
 
-result<stored_configuration> decode(const object_record& record)
+config_controller::config_controller(entry_context& shared)
+    : context(&shared)
+    , configs(config_store::create(*shared.store, shared.time, shared.next_request_id()))
+    , follower([this] { this->follow(); })
+    , prober([this] { this->probe(); })
 {
-    const json value = json::parse(record.value, nullptr, false);
-    if (!value.is_object() || !value.contains("document"))
-    {
-        return fail(error_code::internal, "read configuration", "",
-                    "the stored configuration is malformed");
-    }
-    return stored_configuration{value.value("number", std::uint64_t{0}),
-                                value.value("patch_id", ""), value["document"].dump(),
-                                record.version};
 }
 
-std::string encode(const stored_configuration& stored)
+config_controller::~config_controller()
 {
-    return json{{"number", stored.number},
-                {"patch_id", stored.patch_id},
-                {"document", json::parse(stored.document)}}
-        .dump();
+    {
+        const std::scoped_lock hold(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    this->follower.join();
+    this->prober.join();
 }
 
-/// After a lost answer: tells whether the patch took effect after all.
-result<stored_configuration>
-read_back(object_store& store, const stored_configuration& wanted, const error& fault)
+void config_controller::follow()
 {
-    auto current = read_configuration(store);
-    if (current && current->patch_id == wanted.patch_id)
+    std::unique_lock hold(this->mutex);
+    while (!this->stopping)
     {
-        return current;
+        hold.unlock();
+        const config_step step =
+            this->context->relay->next_step(this->context->time.now());
+        const bool done =
+            step.at_store ? this->follow_store() : this->ask(step.peer, watch_wait);
+        hold.lock();
+        if (!done)
+        {
+            this->wake.wait_for(hold, retry_wait);
+        }
     }
-    return tl::unexpected<error>(fault);
 }
 
-} // namespace
-
-result<stored_configuration> read_configuration(object_store& store)
+void config_controller::probe()
 {
-    const auto record = store.get(config_key);
-    if (!record)
+    std::unique_lock hold(this->mutex);
+    while (!this->stopping)
     {
-        if (record.error().code == error_code::not_found)
+        hold.unlock();
+        this->context->peers->expire();
+        const auto peer = this->context->relay->next_probe(this->context->time.now());
+        if (peer)
         {
-            return stored_configuration{0, "", "{}", 0};
+            static_cast<void>(this->ask(*peer, milliseconds(0)));
         }
-        return tl::unexpected<error>(record.error());
+        this->renew_admission();
+        hold.lock();
+        this->wake.wait_for(hold, probe_round);
     }
-    return decode(*record);
 }
 
-result<stored_configuration> patch_configuration(object_store& store,
-                                                 std::uint64_t against,
-                                                 std::string_view patch_id,
-                                                 std::string_view merge_patch)
+/// Lets requests in for a while; a process that was paused finds its time over.
+void config_controller::renew_admission()
 {
-    auto current = read_configuration(store);
-    if (!current)
+    const time_point now = this->context->time.now();
+    if (this->context->relay->may_admit(now))
     {
-        return current;
+        this->context->admit_until = (now + admission_lease).time_since_epoch().count();
     }
-    if (!patch_id.empty() && current->patch_id == patch_id)
+    else
     {
-        return current;
+        this->context->admit_until = 0;
     }
-    if (current->number != against)
+}
+
+bool config_controller::follow_store()
+{
+    const auto record =
+        this->context->store->watch(config_key, this->version, watch_wait);
+    if (!record)
     {
-        return fail(error_code::conflict, "patch configuration", "",
-                    "the configuration is now at number " +
-                        std::to_string(current->number));
+        return false;
     }
-    const json patch = json::parse(merge_patch, nullptr, false);
-    if (!patch.is_object())
+    if (!*record)
     {
-        return fail(error_code::invalid, "patch configuration", "",
-                    "the patch is not a JSON object");
+        const auto own = this->context->peers->current();
+        this->context->relay->heard_store(this->context->time.now(),
+                                          own ? own->number : 0);
+        return true;
     }
-    json document = json::parse(current->document);
-    document.merge_patch(patch);
-    stored_configuration next{against + 1, std::string(patch_id), document.dump(), 0};
-    if (auto checked = configuration::parse(next.document, next.number); !checked)
+    auto state = this->configs->read();
+    if (!state)
     {
-        return tl::unexpected<error>(checked.error());
+        log_error("configuration not read", state.error());
+        return false;
     }
-    const auto written = store.put(config_key, encode(next), current->version);
-    if (!written)
+    const std::uint64_t read_version = state->version;
+    const std::uint64_t number = state->number;
+    if (!this->take(std::move(*state)))
     {
-        return read_back(store, next, written.error());
+        return false;
     }
-    next.version = *written;
-    return next;
+    this->version = read_version;
+    this->context->relay->heard_store(this->context->time.now(), number);
+    this->renew_admission();
+    return true;
 }
 
-config_controller::config_controller(entry_context& shared)
-    : context(&shared)
-    , worker([this] { this->run(); })
+bool config_controller::ask(const peer_record& peer, milliseconds wait)
 {
-}
-
-config_controller::~config_controller()
-{
-    this->stopping = true;
-    this->worker.join();
-}
-
-void config_controller::run()
-{
-    std::uint64_t version = 0;
-    while (!this->stopping)
+    const auto own = this->context->peers->current();
+    const auto call = [&](std::uint64_t after)
+    {
+        return this->context->client->fetch(
+            make_peer_call(peer, this->context->settings.fleet_secret, after, wait));
+    };
+    auto reply = call(own ? own->number : 0);
+    auto answer =
+        reply && reply->status == 200
+            ? parse_peer_answer(reply->body)
+            : fail(error_code::unavailable, "relay configuration", peer.vm, "no answer");
+    if (!answer)
+    {
+        this->context->relay->peer_failed(peer.vm, this->context->time.now());
+        return false;
+    }
+    const peer_word word = answer->word;
+    if (word.number > (own ? own->number : 0))
     {
-        const auto record = this->context->store->watch(config_key, version, watch_wait);
-        if (!record)
+        auto next = apply_answer(own ? *own : config_state{}, std::move(*answer));
+        if (!next)
         {
-            std::this_thread::sleep_for(retry_wait);
+            reply = call(0);
+            answer = reply ? parse_peer_answer(reply->body)
+                           : tl::unexpected<error>(reply.error());
+            next = answer ? apply_answer({}, std::move(*answer))
+                          : tl::unexpected<error>(answer.error());
         }
-        else if (*record)
+        if (!next || !this->take(std::move(*next)))
         {
-            version = (*record)->version;
-            this->take(**record);
+            return false;
         }
     }
+    this->context->relay->heard_peer(peer.vm, this->context->time.now(), word);
+    return true;
 }
 
-void config_controller::take(const object_record& record)
+bool config_controller::take(config_state state)
 {
-    auto stored = decode(record);
-    if (!stored)
+    const std::scoped_lock hold(this->taking);
+    const auto present = this->context->peers->current();
+    if (present && present->number >= state.number)
     {
-        log_error("configuration not taken", stored.error());
-        return;
+        return true;
     }
-    auto parsed = configuration::parse(stored->document, stored->number);
+    auto parsed = configuration::parse(state.document, state.number);
     if (!parsed)
     {
         log_error("configuration not taken", parsed.error());
-        return;
+        return false;
     }
+    const std::uint64_t number = state.number;
     this->context->allowance->configure(*parsed);
     this->context->board.config.publish(
-        configuration_view::create(std::move(*parsed), std::move(stored->document)));
+        configuration_view::create(std::move(*parsed), state.document));
+    this->context->relay->in_force(number);
+    this->context->peers->publish(std::make_shared<const config_state>(std::move(state)));
     log_line(log_level::info, "configuration in force",
-             {{"number", static_cast<std::int64_t>(stored->number)}});
+             {{"number", static_cast<std::int64_t>(number)}});
+    return true;
 }
 
 } // namespace agateseam
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -90,10 +90,14 @@
         {
             this->queue_operator(std::move(exchange));
         }
-        else if (!this->context->board.config.read())
+        else if (path == "/peer/config")
+        {
+            this->serve_peer(std::move(exchange));
+        }
+        else if (!this->context->board.config.read() || !this->context->may_admit())
         {
             respond(*exchange, to_api_error({error_code::unavailable, "receive", "",
-                                             "no configuration has arrived yet"},
+                                             "the configuration may be out of date"},
                                             run_state::not_run));
         }
         else if (path == "/v1/models")
@@ -113,8 +117,21 @@
   private:
     [[nodiscard]] bool ready() const
     {
-        return !this->context->leaving && this->context->board.config.read() &&
-               this->context->board.members.read();
+        return !this->context->leaving && this->context->may_admit() &&
+               this->context->board.config.read() && this->context->board.members.read();
+    }
+
+    void serve_peer(std::shared_ptr<http_exchange> exchange)
+    {
+        if (!equal_secrets(exchange->request().header(headers::fleet),
+                           this->context->settings.fleet_secret))
+        {
+            respond(*exchange, to_api_error({error_code::unauthorized, "peer", "",
+                                             "the fleet secret is missing or wrong"},
+                                            run_state::not_run));
+            return;
+        }
+        this->context->peers->answer(std::move(exchange));
     }
 
     void take_model_request(std::shared_ptr<http_exchange> exchange)
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -48,6 +48,15 @@
         return tl::unexpected<error>(claims.error());
     }
     context->claims = std::move(*claims);
+    context->configs =
+        config_store::create(*context->store, context->time, context->next_request_id());
+    auto relay = config_relay::create({settings.vm, "", settings.failure_domain}, {});
+    if (!relay)
+    {
+        return tl::unexpected<error>(relay.error());
+    }
+    context->relay = std::move(*relay);
+    context->peers = std::make_unique<config_peers>(context->time, *context->relay);
     auto allowance = static_admission::create(context->time, 0);
     if (!allowance)
     {
@@ -91,6 +100,11 @@
     return fail(error_code::unauthorized, "authenticate", "", "the key is not valid");
 }
 
+bool entry_context::may_admit() const noexcept
+{
+    return this->time.now().time_since_epoch().count() < this->admit_until;
+}
+
 void entry_context::note_load(const std::vector<http_header>& head)
 {
     for (const auto& [name, value] : head)
