--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -5,10 +5,10 @@
 #include <agateseam/agent_scheduler.hpp>
 #include <agateseam/allowance.hpp>
 #include <agateseam/api_key.hpp>
-#include <agateseam/claim.hpp>
-#include <agateseam/claim_ledger.hpp>
 #include <agateseam/cache_digest.hpp>
 #include <agateseam/cache_index.hpp>
+#include <agateseam/claim.hpp>
+#include <agateseam/claim_ledger.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/config_relay.hpp>
 #include <agateseam/config_store.hpp>
