--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -57,6 +57,7 @@
 class admission;
 class static_admission;
 class allowance;
+
 // Claims on calls that may not be repeated.
 enum class claim_verdict : std::uint8_t;
 struct call_outcome;
@@ -65,6 +66,30 @@
 struct claim_ledger_options;
 class claim_shard;
 class claim_ledger;
+struct share_account;
+struct share_line;
+struct share_report;
+struct share_grant;
+struct share_answer;
+struct share_census;
+struct share_census_answer;
+struct share_record;
+struct share_options;
+class share_home;
+class share_holder;
+
+// The numbered configuration.
+struct configuration;
+struct config_change;
+struct config_state;
+struct config_patch;
+struct patch_outcome;
+class config_store;
+struct peer_record;
+struct peer_word;
+struct config_step;
+struct config_relay_options;
+class config_relay;
 
 // Requests.
 enum class run_state : std::uint8_t;
@@ -75,7 +100,10 @@
 
 // The work of one backend server.
 class agent_scheduler;
+class cache_digest;
+class cache_index;
 class fair_queue;
+class work_estimator;
 struct scheduler_load;
 struct scheduler_options;
 struct slot_event;
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr std::chrono::milliseconds heartbeat_interval{500};
+constexpr std::chrono::milliseconds reconcile_interval{50};
 constexpr std::chrono::seconds outcome_retention{120};
 constexpr std::string_view attempts_path = "/agent/attempts/";
 
@@ -40,6 +41,7 @@
         {
             this->beater.join();
         }
+        this->context->slots->stop();
         this->server.reset();
         this->context->client.reset();
     }
@@ -63,7 +65,7 @@
         return this->server->port();
     }
 
-    void drain() override { this->context->leaving = true; }
+    void drain() override { this->context->drain(); }
 
     /// Leases go on being renewed until the work has ended.
     void stop_listening() override {}
@@ -78,10 +80,14 @@
     void handle(std::shared_ptr<http_exchange> exchange) override
     {
         const std::string& path = exchange->request().path;
-        if (path == "/healthz" || path == "/readyz")
+        if (path == "/healthz")
         {
-            exchange->respond(path == "/readyz" && this->context->leaving ? 503 : 200, {},
-                              "");
+            exchange->respond(200, {}, "");
+        }
+        else if (path == "/readyz")
+        {
+            const bool serves = this->context->ready && !this->context->leaving;
+            exchange->respond(serves ? 200 : 503, {}, "");
         }
         else if (!equal_secrets(exchange->request().header(headers::fleet),
                                 this->context->settings.fleet_secret))
@@ -117,6 +123,14 @@
   private:
     void take_order(const std::shared_ptr<http_exchange>& exchange)
     {
+        if (!this->context->ready)
+        {
+            respond(*exchange, to_api_error({error_code::unavailable, "receive order",
+                                             this->context->settings.vm,
+                                             "the engine is not reconciled yet"},
+                                            run_state::not_run));
+            return;
+        }
         const http_request& request = exchange->request();
         auto order = parse_attempt_order(request.header(headers::attempt));
         if (!order)
@@ -163,6 +177,7 @@
         std::vector<attempt_id> unknown;
         for (const attempt_id& id : order->renew)
         {
+            this->context->slots->renew(id);
             if (!this->context->attempts.renew(id, this->context->time.now()))
             {
                 unknown.push_back(id);
@@ -170,7 +185,7 @@
         }
         for (const attempt_id& id : order->end)
         {
-            this->context->leases.end(id);
+            this->context->slots->end(id);
         }
         exchange.respond(200, {{"Content-Type", "application/json"}},
                          lease_reply_text(unknown));
@@ -201,24 +216,17 @@
 
     void beat()
     {
-        if (this->context->settings.backend.kind == backend_kind::service)
-        {
-            this->context->backend_ready = true;
-        }
-        else
-        {
-            this->context->reconcile();
-        }
         std::unique_lock hold(this->mutex);
         while (!this->stopping)
         {
-            this->wake.wait_for(hold, heartbeat_interval);
+            this->wake.wait_for(hold, this->context->ready ? heartbeat_interval
+                                                           : reconcile_interval);
             hold.unlock();
-            if (!this->context->backend_ready)
+            if (!this->context->ready)
             {
-                this->context->reconcile();
+                this->context->ready = this->context->reconcile();
             }
-            this->context->leases.beat();
+            this->context->beat();
             this->context->attempts.forget_before(this->context->time.now() -
                                                   outcome_retention);
             hold.lock();
--- a/src/daemon/agent_context.cpp
+++ b/src/daemon/agent_context.cpp
@@ -2,15 +2,41 @@
 
 #include <nlohmann/json.hpp>
 
+#include <net/log.hpp>
+
 namespace agateseam
 {
 
 namespace
 {
 
+using std::chrono::milliseconds;
+
+constexpr milliseconds first_token_gap{39}; ///< Until answers were observed.
+constexpr milliseconds kv_lifetime{900};    ///< Of a prefill's result at its engine.
+constexpr std::uint32_t prefill_slots = 1;  ///< An engine prefills one after another.
+constexpr milliseconds engine_timeout{2'000};
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 
+scheduler_options scheduler_options_of(const daemon_settings& settings)
+{
+    const backend_settings& backend = settings.backend;
+    const bool prefill = backend.kind == backend_kind::prefill;
+    scheduler_options options;
+    options.slots = prefill ? prefill_slots : backend.slots;
+    options.queue_limit = backend.queue_limit;
+    options.kv_lifetime = kv_lifetime;
+    options.lease_lifetime = settings.limits.lease;
+    return options;
+}
+
+duration lead_per_token(const backend_settings& backend)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(1 / backend.tokens_per_second));
+}
+
 } // namespace
 
 result<std::unique_ptr<agent_context>>
@@ -21,86 +47,104 @@
     {
         return tl::unexpected<error>(client.error());
     }
-    std::unique_ptr<agent_context> context(new agent_context);
-    context->settings = settings;
+    std::unique_ptr<agent_context> context(new agent_context(settings));
     context->client = std::move(*client);
+    auto slots = slot_service::create(scheduler_options_of(settings), context->time);
+    if (!slots)
+    {
+        return tl::unexpected<error>(slots.error());
+    }
+    context->slots = std::move(*slots);
+    context->ready = settings.backend.kind == backend_kind::service;
     context->incarnation =
         static_cast<std::uint64_t>(context->time.wall_now().time_since_epoch().count());
     return context;
 }
 
-bool agent_context::take_slot()
-{
-    std::uint32_t held = this->used.load();
-    do
-    {
-        if (held >= this->settings.backend.slots || this->leaving || !this->backend_ready)
-        {
-            return false;
-        }
-    } while (!this->used.compare_exchange_weak(held, held + 1));
-    return true;
-}
-
-void agent_context::release_slot()
+agent_context::agent_context(const daemon_settings& chosen)
+    : settings(chosen)
+    , estimator(first_token_gap, lead_per_token(chosen.backend))
 {
-    --this->used;
 }
 
-bool agent_context::lapsed(const attempt_id& id) const
+void agent_context::drain()
 {
-    const auto record = this->attempts.find(id);
-    return record && !record->ended &&
-           this->time.now() - record->when > this->settings.limits.lease;
+    this->leaving = true;
+    this->slots->drain();
 }
 
-void agent_context::note_backend(const error& fault)
+bool agent_context::reconcile()
 {
-    if (fault.code == error_code::unavailable)
+    const bool service = this->settings.backend.kind == backend_kind::service;
+    http_call list;
+    list.url = this->settings.backend.url + (service ? "/healthz" : "/requests");
+    list.step = "reconcile";
+    list.total_timeout = engine_timeout;
+    const auto reply = this->client->fetch(std::move(list));
+    if (!reply || service || reply->status != status_ok)
     {
-        this->backend_ready = false;
+        return reply && (service || reply->status == status_not_found);
     }
+    const auto ids = nlohmann::json::parse(reply->body, nullptr, false);
+    for (const auto& id : ids)
+    {
+        if (id.is_string())
+        {
+            this->abort_at_engine(id.get<std::string>());
+        }
+    }
+    return ids.is_array() && ids.empty();
 }
 
-void agent_context::reconcile()
+void agent_context::abort_at_engine(const std::string& engine_id)
 {
-    const bool service = this->settings.backend.kind == backend_kind::service;
-    http_call list;
-    list.url = this->settings.backend.url + (service ? "/healthz" : "/requests");
-    list.step = "reconcile";
-    list.total_timeout = this->settings.limits.silence;
-    this->client->fetch_async(std::move(list),
-                              [this, service](const result<http_reply>& reply)
+    http_call abort;
+    abort.method = "POST";
+    abort.url = this->settings.backend.url + "/abort";
+    abort.step = "cancel";
+    abort.total_timeout = engine_timeout;
+    abort.body = nlohmann::json{{"request_id", engine_id}}.dump();
+    abort.fresh_connection = true;
+    this->client->fetch_async(std::move(abort),
+                              [this, engine_id](const result<http_reply>& reply)
                               {
-                                  if (reply && reply->status == status_ok && !service)
-                                  {
-                                      this->cancel_all(reply->body);
-                                  }
-                                  else if (reply &&
-                                           (service || reply->status == status_not_found))
+                                  const bool again =
+                                      !reply &&
+                                      reply.error().code != error_code::unavailable &&
+                                      reply.error().code != error_code::cancelled;
+                                  if (again)
                                   {
-                                      this->backend_ready = true;
+                                      log_error("cancel failed", reply.error());
+                                      const std::scoped_lock hold(this->mutex);
+                                      this->unconfirmed_aborts.insert(engine_id);
                                   }
                               });
 }
 
-void agent_context::cancel_all(const std::string& request_ids)
+void agent_context::note_backend(const error& fault)
 {
-    const auto ids = nlohmann::json::parse(request_ids, nullptr, false);
-    if (ids.is_array() && ids.empty())
+    if (fault.code == error_code::unavailable)
     {
-        this->backend_ready = true;
+        this->ready = false;
     }
-    for (const auto& id : ids)
+}
+
+bool agent_context::take_slot()
+{
+    std::uint32_t held = this->used.load();
+    do
     {
-        http_call abort;
-        abort.method = "POST";
-        abort.url = this->settings.backend.url + "/abort";
-        abort.step = "reconcile";
-        abort.total_timeout = this->settings.limits.silence;
-        abort.body = nlohmann::json{{"request_id", id}}.dump();
-        this->client->fetch_async(std::move(abort), [](const result<http_reply>&) {});
-    }
+        if (held >= this->settings.backend.slots || this->leaving)
+        {
+            return false;
+        }
+    } while (!this->used.compare_exchange_weak(held, held + 1));
+    return true;
+}
+
+void agent_context::release_slot()
+{
+    --this->used;
 }
 
 load_report agent_context::report()
@@ -112,12 +156,14 @@
     report.kind = this->settings.backend.kind;
     report.pool = this->settings.backend.pool;
     report.failure_domain = this->settings.failure_domain;
-    report.slots = this->settings.backend.slots;
-    report.used = this->used;
-    report.queued = this->waiting;
-    report.queued_tokens = this->waiting_tokens;
+    const bool prefill = report.kind == backend_kind::prefill;
+    const scheduler_load load = this->slots->load();
+    report.slots = prefill ? prefill_slots : this->settings.backend.slots;
+    report.used = this->used + load.used;
+    report.queued = load.queued;
+    report.queued_tokens = static_cast<std::uint64_t>(load.queued_tokens);
     report.tokens_per_second = this->settings.backend.tokens_per_second;
-    report.leaving = this->leaving || !this->backend_ready;
+    report.leaving = this->leaving || !this->ready;
     return report;
 }
 
@@ -126,4 +172,36 @@
     return {std::string(headers::load), to_text(this->report())};
 }
 
+void agent_context::listen(std::weak_ptr<heartbeat_listener> listener)
+{
+    const std::scoped_lock hold(this->mutex);
+    this->listeners.push_back(std::move(listener));
+}
+
+void agent_context::beat()
+{
+    std::vector<std::shared_ptr<heartbeat_listener>> alive;
+    std::set<std::string> aborts;
+    {
+        const std::scoped_lock hold(this->mutex);
+        std::erase_if(this->listeners, [](const auto& item) { return item.expired(); });
+        for (const auto& item : this->listeners)
+        {
+            if (auto listener = item.lock())
+            {
+                alive.push_back(std::move(listener));
+            }
+        }
+        aborts.swap(this->unconfirmed_aborts);
+    }
+    for (const std::string& engine_id : aborts)
+    {
+        this->abort_at_engine(engine_id);
+    }
+    for (const auto& listener : alive)
+    {
+        listener->on_heartbeat();
+    }
+}
+
 } // namespace agateseam
--- a/src/daemon/attempt_table.cpp
+++ b/src/daemon/attempt_table.cpp
@@ -51,48 +51,4 @@
                   { return item.second.ended && item.second.when < limit; });
 }
 
-void lease_table::add(const attempt_id& id, std::weak_ptr<lease_holder> holder)
-{
-    const std::scoped_lock hold(this->mutex);
-    this->holders[id] = std::move(holder);
-}
-
-void lease_table::beat()
-{
-    std::vector<std::shared_ptr<lease_holder>> alive;
-    {
-        const std::scoped_lock hold(this->mutex);
-        std::erase_if(this->holders,
-                      [](const auto& item) { return item.second.expired(); });
-        for (const auto& [id, item] : this->holders)
-        {
-            if (auto holder = item.lock())
-            {
-                alive.push_back(std::move(holder));
-            }
-        }
-    }
-    for (const auto& holder : alive)
-    {
-        holder->on_heartbeat();
-    }
-}
-
-void lease_table::end(const attempt_id& id)
-{
-    std::shared_ptr<lease_holder> holder;
-    {
-        const std::scoped_lock hold(this->mutex);
-        const auto found = this->holders.find(id);
-        if (found != this->holders.end())
-        {
-            holder = found->second.lock();
-        }
-    }
-    if (holder)
-    {
-        holder->on_end();
-    }
-}
-
 } // namespace agateseam
--- a/src/daemon/attempt_table.hpp
+++ b/src/daemon/attempt_table.hpp
@@ -1,10 +1,8 @@
-/// Runs each attempt at most once, remembers what became of it, and keeps its lease.
+/// Runs each attempt at most once, and remembers what became of it.
 #pragma once
 
 #include <map>
-#include <memory>
 #include <mutex>
-#include <vector>
 
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
@@ -43,34 +41,4 @@
     std::map<attempt_id, attempt_record> records;
 };
 
-/// \brief A part of an agent's work that holds a lease.
-class lease_holder
-{
-  public:
-    virtual ~lease_holder() = default;
-
-    /// \brief Called at each heartbeat.
-    virtual void on_heartbeat() = 0;
-
-    /// \brief Called when the relay has no more use for the work.
-    virtual void on_end() = 0;
-};
-
-/// \brief The lease holders of one agent that are alive.
-class lease_table
-{
-  public:
-    /// \brief Calls the holder at each heartbeat until it is destroyed.
-    void add(const attempt_id& id, std::weak_ptr<lease_holder> holder);
-
-    void beat();
-
-    /// \brief Ends one holder's work, if it is still there.
-    void end(const attempt_id& id);
-
-  private:
-    std::mutex mutex;
-    std::map<attempt_id, std::weak_ptr<lease_holder>> holders;
-};
-
 } // namespace agateseam
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -9,13 +9,14 @@
 
 #include <agateseam/api_key.hpp>
 #include <agateseam/claim_ledger.hpp>
-#include <agateseam/configuration.hpp>
+#include <agateseam/config_store.hpp>
 #include <agateseam/member.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/retry_budget.hpp>
 #include <agateseam/static_admission.hpp>
+#include <daemon/config_peers.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/open_attempts.hpp>
 #include <daemon/path_counters.hpp>
@@ -64,6 +65,9 @@
     /// \returns the workspace's name; `unauthorized` without a valid key.
     [[nodiscard]] result<std::string> authenticate(const http_request& request) const;
 
+    /// \brief Tells whether requests may be admitted under the configuration in force.
+    [[nodiscard]] bool may_admit() const noexcept;
+
     /// \brief Takes over the load that came with an agent's answer.
     void note_load(const std::vector<http_header>& head);
 
@@ -73,11 +77,15 @@
     std::unique_ptr<http_client> client;
     std::unique_ptr<object_store> store;
     std::unique_ptr<claim_ledger> claims;
+    std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
+    std::unique_ptr<config_relay> relay;
+    std::unique_ptr<config_peers> peers;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
     std::unique_ptr<retry_budget> retries;
     open_attempts attempts;
     path_counters counters;
+    std::atomic<duration::rep> admit_until{0}; ///< Monotonic; 0 before the first check.
     std::atomic<bool> leaving{false};
     std::atomic<std::size_t> open{0}; ///< Requests under way.
 
