Silent connections: noticed by their own clock, probed before any verdict

Cause: libcurl's low-speed limit looks at a mean over seconds, so silence of 1 s was noticed several seconds late; a broken stream gave its agent up. Change: the client ends a call that has brought no byte for silent_timeout, checked each 250 ms; a broken stream is probed over a new connection as a silent one is, and an agent that answers may run the resumption.

--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -145,16 +145,13 @@
         {
             this->try_again(*this->failure);
         }
-        else if (!outcome && outcome.error().code == error_code::timeout)
+        else if (!outcome && outcome.error().code == error_code::unavailable)
         {
-            this->probe(outcome.error());
+            this->try_again({run_state::not_run, outcome.error()});
         }
         else if (!outcome)
         {
-            this->end_at_agent();
-            const bool refused = outcome.error().code == error_code::unavailable;
-            this->try_again(
-                {refused ? run_state::not_run : run_state::unknown, outcome.error()});
+            this->probe(outcome.error());
         }
         else
         {
@@ -184,10 +181,14 @@
         end_attempt(*this->context, this->decode_address, this->current());
     }
 
-    /// A silent stream is no verdict on its server: asks it over a new connection.
-    void probe(const error& silence)
+    /// A silent or broken stream is no verdict on its server: asks it over a new
+    /// connection.
+    void probe(const error& fault)
     {
-        ++this->context->counters.streams_silent;
+        if (fault.code == error_code::timeout)
+        {
+            ++this->context->counters.streams_silent;
+        }
         http_call call;
         call.url = "http://" + this->decode_address + "/agent/attempts/" + this->id +
                    "/" + std::to_string(this->attempt);
@@ -198,10 +199,10 @@
             {std::string(headers::fleet), this->context->settings.fleet_secret}};
         this->context->client->fetch_async(
             std::move(call),
-            [self = this->shared_from_this(), silence](const result<http_reply>& reply)
+            [self = this->shared_from_this(), fault](const result<http_reply>& reply)
             {
                 self->end_at_agent();
-                self->try_again({run_state::unknown, silence},
+                self->try_again({run_state::unknown, fault},
                                 reply ? verdict::alive : verdict::suspect);
             });
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -18,7 +18,10 @@
 namespace
 {
 
-constexpr int poll_wait_ms = 1'000;
+using std::chrono::steady_clock;
+
+constexpr int poll_wait_ms = 250;
+constexpr std::chrono::milliseconds silence_check_interval{250};
 constexpr std::size_t handle_pool_limit = 256;
 constexpr unsigned shard_bits = 8;
 
@@ -33,6 +36,7 @@
     std::vector<http_header> answer_headers;
     bool head_told = false;
     bool refused_by_sink = false;
+    steady_clock::time_point heard; ///< The last byte, or the call's begin.
 
     ~call_state() { curl_slist_free_all(this->headers); }
 };
@@ -76,6 +80,7 @@
 std::size_t on_body(char* data, std::size_t, std::size_t size, void* context)
 {
     auto& state = *static_cast<call_state*>(context);
+    state.heard = steady_clock::now();
     tell_head(state);
     if (!state.sink->on_data({data, size}))
     {
@@ -164,6 +169,7 @@
             int running = 0;
             curl_multi_perform(this->multi, &running);
             this->collect();
+            this->end_silent();
             curl_multi_poll(this->multi, nullptr, 0, poll_wait_ms, nullptr);
         }
         this->take_orders();
@@ -173,6 +179,33 @@
         }
     }
 
+    /// Ends calls that have not brought a byte for too long. libcurl's own limit looks at
+    /// a mean over seconds and is late by as much.
+    void end_silent()
+    {
+        const auto now = steady_clock::now();
+        if (now < this->next_silence_check)
+        {
+            return;
+        }
+        this->next_silence_check = now + silence_check_interval;
+        std::vector<http_client::call_id> silent;
+        for (const auto& [id, state] : this->active)
+        {
+            const auto limit = state->call.silent_timeout;
+            if (limit.count() > 0 && now - state->heard > limit)
+            {
+                silent.push_back(id);
+            }
+        }
+        for (const http_client::call_id id : silent)
+        {
+            const http_call& call = this->active.find(id)->second->call;
+            this->end(id, fail(error_code::timeout, call.step, call.url,
+                               "the connection is silent"));
+        }
+    }
+
     void take_orders()
     {
         std::deque<std::unique_ptr<call_state>> fresh;
@@ -215,6 +248,7 @@
     void begin(std::unique_ptr<call_state> state)
     {
         state->handle = this->take_handle();
+        state->heard = steady_clock::now();
         this->configure(*state);
         curl_multi_add_handle(this->multi, state->handle);
         this->active.emplace(state->id, std::move(state));
@@ -242,13 +276,6 @@
                          static_cast<long>(this->options.connection_age.count()));
         curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
                          static_cast<long>(this->options.connection_idle.count()));
-        if (call.silent_timeout.count() > 0)
-        {
-            const long seconds =
-                (static_cast<long>(call.silent_timeout.count()) + 999) / 1000;
-            curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
-            curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME, seconds);
-        }
         if (call.fresh_connection)
         {
             curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
@@ -327,6 +354,7 @@
     std::deque<http_client::call_id> cancels;
     std::unordered_map<http_client::call_id, std::unique_ptr<call_state>> active;
     std::vector<CURL*> idle_handles;
+    steady_clock::time_point next_silence_check;
     std::thread worker;
 };
 
--- /dev/null
+++ b/tests/process/silence_test.py
@@ -0,0 +1,115 @@
+"""Connections that fall silent for good while new ones work: streams through them are
+resumed over new ones, and the server behind is not given up."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../../scripts/lib"))
+from fleet import Fleet, http, wait_for  # noqa: E402
+
+REQUESTS = 10
+STEP_MS = 100
+SILENCE_MS = 1_000
+SLOTS = 20
+
+
+class SilentRelay:
+    """Passes bytes between callers and one port, until told to swallow them."""
+
+    def __init__(self, port):
+        self.target = port
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.port = self.listener.getsockname()[1]
+        self.silent = threading.Event()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            caller, _ = self.listener.accept()
+            server = socket.create_connection(("127.0.0.1", self.target))
+            silent = self.silent
+            for source, sink in ((caller, server), (server, caller)):
+                threading.Thread(target=self.pump, args=(source, sink, silent),
+                                 daemon=True).start()
+
+    @staticmethod
+    def pump(source, sink, silent):
+        try:
+            while data := source.recv(65536):
+                if not silent.is_set():
+                    sink.sendall(data)
+            if not silent.is_set():
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def swallow(self):
+        """Silences the connections that are open; later ones work."""
+        old, self.silent = self.silent, threading.Event()
+        old.set()
+
+
+def check(condition, what):
+    if not condition:
+        raise AssertionError(what)
+
+
+def list_through(fleet, name, relay):
+    vms = [{"name": agent, "role": "agent", "failure_domain": domain, "leaving": False,
+            "address": "127.0.0.1:" + str(relay.port if agent == name
+                                          else fleet.processes[agent].port)}
+           for agent, _, domain in fleet.agents]
+    vms += [{"name": entry, "role": "entry", "failure_domain": fleet.domains[0],
+             "leaving": False, "address": f"127.0.0.1:{fleet.processes[entry].port}"}
+            for entry in fleet.entries]
+    http("PUT", fleet.platform_url() + "/admin/vms", json.dumps(vms))
+
+
+def start_load(fleet, seed):
+    path = os.path.join(fleet.directory, "addresses.json")
+    with open(path, "w") as file:
+        json.dump({"entries": fleet.entry_urls(), "keys": fleet.keys}, file)
+    command = [fleet.program("load"), "--addresses", path, "--requests", str(REQUESTS),
+               "--concurrency", str(REQUESTS), "--booking-share", "0",
+               "--output-tokens", "30", "--seed", str(seed)]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+
+def counter(url, name):
+    text = http("GET", url + "/metrics")[2].decode()
+    return sum(float(line.split()[1]) for line in text.splitlines()
+               if line.startswith(name + " "))
+
+
+def test_silent(fleet, name, relay):
+    """With one decode agent only, a resumption needs that agent again."""
+    url = fleet.entry_urls()[0]
+    load = start_load(fleet, 5)
+    wait_for(lambda: fleet.agent_load(name)["used"] >= REQUESTS / 2, "streams", 10)
+    time.sleep(3 * STEP_MS / 1000)
+    relay.swallow()
+    outcome = json.loads(load.communicate(timeout=30)[0])
+    check(outcome["whole"] == REQUESTS, outcome)
+    check(counter(url, "agateseam_streams_silent_total") > 0, "no silence was noticed")
+    check(counter(url, "agateseam_resumed_total") > 0, "nothing was resumed")
+
+
+def main():
+    build = sys.argv[1]
+    with Fleet(build, os.path.join(build, "test-silence"), entries=1, prefill=1, decode=1,
+               services=1, limits={"silence_ms": SILENCE_MS},
+               engine_options=("--step-ms", str(STEP_MS))) as fleet:
+        relay = SilentRelay(fleet.processes["decode-1"].port)
+        list_through(fleet, "decode-1", relay)
+        fleet.configure(("oshana",))
+        test_silent(fleet, "decode-1", relay)
+        wait_for(lambda: fleet.slots_held() == 0, "all slots to be free", 10)
+
+
+if __name__ == "__main__":
+    main()
