--- a/src/daemon/member_controller.cpp
+++ b/src/daemon/member_controller.cpp
@@ -115,10 +115,13 @@
         }
     }
     const time_point now = this->context->time.now();
+    // After a pause of this process, or a slow call to the store, nobody was asked.
+    const bool asked_lately = now - this->asked < silence_limit / 2;
+    this->asked = now;
     for (const auto& agent : agents)
     {
         const time_point heard{duration{agent->heard.load()}};
-        agent->silent = now - heard > silence_limit;
+        agent->silent = asked_lately ? now - heard > silence_limit : agent->silent.load();
         http_call call;
         call.url = "http://" + agent->address + "/agent/load";
         call.step = "heartbeat";
--- a/src/daemon/member_controller.hpp
+++ b/src/daemon/member_controller.hpp
@@ -25,6 +25,7 @@
 
     entry_context* context;
     std::atomic<bool> stopping{false};
+    time_point asked; ///< When the agents were last asked.
     std::thread worker;
 };
 
