Withdrawn keys: queued requests are refused, running streams finish or are cut

Cause: a key was checked once, when the request arrived: a request that then waited was run for a withdrawn key, and withdrawn_streams had no effect.

Change: requests under way follow their key; each new configuration marks the keys it no longer has. A request with no token delivered is refused (401, run as it stands), a running stream finishes or is cut as policy.withdrawn_streams says.

--- a/src/daemon/config_controller.cpp
+++ b/src/daemon/config_controller.cpp
@@ -174,6 +174,10 @@
     this->context->allowance->configure(*parsed);
     this->context->board.config.publish(
         configuration_view::create(std::move(*parsed), state.document));
+    {
+        const auto view = this->context->board.config.read();
+        this->context->keys.check(*view);
+    }
     this->context->relay->in_force(number);
     this->context->peers->publish(std::make_shared<const config_state>(std::move(state)));
     log_line(log_level::info, "configuration in force",
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -5,6 +5,23 @@
 namespace agateseam
 {
 
+namespace
+{
+
+/// Takes the caller's key out of the request's head.
+result<api_key_parts> read_key(const http_request& request)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view header = request.header("Authorization");
+    if (!header.starts_with(scheme))
+    {
+        return fail(error_code::unauthorized, "authenticate", "", "no key came along");
+    }
+    return split_api_key(header.substr(scheme.size()));
+}
+
+} // namespace
+
 std::unique_ptr<const configuration_view> configuration_view::create(configuration taken,
                                                                      std::string document)
 {
@@ -73,15 +90,15 @@
            std::to_string(++this->requests);
 }
 
+key_flag entry_context::follow_key(const http_request& request)
+{
+    const auto parts = read_key(request);
+    return this->keys.add(parts ? parts->id : std::string_view{}, this->board.config);
+}
+
 result<std::string> entry_context::authenticate(const http_request& request) const
 {
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string_view header = request.header("Authorization");
-    if (!header.starts_with(scheme))
-    {
-        return fail(error_code::unauthorized, "authenticate", "", "no key came along");
-    }
-    const auto parts = split_api_key(header.substr(scheme.size()));
+    const auto parts = read_key(request);
     if (!parts)
     {
         return tl::unexpected<error>(parts.error());
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -16,6 +16,7 @@
 #include <agateseam/published.hpp>
 #include <agateseam/static_admission.hpp>
 #include <daemon/config_peers.hpp>
+#include <daemon/key_watch.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
 #include <net/http_client.hpp>
@@ -62,6 +63,9 @@
     /// \returns the workspace's name; `unauthorized` without a valid key.
     [[nodiscard]] result<std::string> authenticate(const http_request& request) const;
 
+    /// \brief Follows the key that came with an authenticated request.
+    [[nodiscard]] key_flag follow_key(const http_request& request);
+
     /// \brief Tells whether requests may be admitted under the configuration in force.
     [[nodiscard]] bool may_admit() const noexcept;
 
@@ -77,6 +81,7 @@
     std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
     std::unique_ptr<config_relay> relay;
     std::unique_ptr<config_peers> peers;
+    key_watch keys;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
     std::atomic<duration::rep> admit_until{0}; ///< Monotonic; 0 before the first check.
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -46,6 +46,7 @@
             return;
         }
         this->workspace = std::move(*owner);
+        this->key = this->context->follow_key(this->exchange->request());
         auto read =
             read_model_request(this->exchange->request(), this->context->settings.limits);
         if (!read)
@@ -82,6 +83,10 @@
 
     [[nodiscard]] bool on_data(std::string_view data) override
     {
+        if (this->withdrawn())
+        {
+            return false;
+        }
         if (this->agent_status != status_ok)
         {
             this->refusal.append(data);
@@ -105,6 +110,10 @@
         {
             this->finish();
         }
+        else if (this->withdrawn())
+        {
+            this->give_answer(this->withdrawal());
+        }
         else if (this->failure)
         {
             this->try_again(*this->failure);
@@ -174,8 +183,28 @@
         return true;
     }
 
+    /// Tells whether the key was withdrawn and the request has to end for it.
+    [[nodiscard]] bool withdrawn() const
+    {
+        const key_state state = *this->key;
+        return state == key_state::withdrawn_cut ||
+               (state == key_state::withdrawn && this->delivered == 0);
+    }
+
+    [[nodiscard]] api_error withdrawal() const
+    {
+        return to_api_error(
+            {error_code::unauthorized, "authenticate", "", "the key has been withdrawn"},
+            this->run_so_far());
+    }
+
     void next_attempt()
     {
+        if (this->withdrawn())
+        {
+            this->give_answer(this->withdrawal());
+            return;
+        }
         placement_request wanted;
         wanted.pool = this->pool;
         wanted.workspace = this->workspace;
@@ -464,6 +493,7 @@
     std::shared_ptr<http_exchange> exchange;
     model_request_parts parts;
     std::string workspace;
+    key_flag key;
     std::string pool;
     policy_config policy;
     double weight = 1;
--- a/src/daemon/service_request.cpp
+++ b/src/daemon/service_request.cpp
@@ -47,6 +47,7 @@
                 return;
             }
             this->workspace = std::move(*owner);
+            this->key_state_now = this->context->follow_key(this->exchange->request());
         }
         this->id = this->context->next_request_id();
         this->key = this->exchange->request().header("Idempotency-Key");
@@ -149,8 +150,20 @@
         }
     }
 
+    [[nodiscard]] bool withdrawn() const
+    {
+        return this->key_state_now && *this->key_state_now != key_state::valid;
+    }
+
     void next_attempt()
     {
+        if (this->withdrawn())
+        {
+            this->fail_with({error_code::unauthorized, "authenticate", "",
+                             "the key has been withdrawn"},
+                            this->maybe_run ? run_state::unknown : run_state::not_run);
+            return;
+        }
         placement_request wanted;
         wanted.pool = this->route.pool;
         wanted.workspace = this->workspace;
@@ -317,6 +330,7 @@
     route_config route;
     milliseconds retention{0};
     std::string workspace;
+    key_flag key_state_now; ///< Null on open routes.
     std::string id;
     std::string key;
     std::string body;
