--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -7,6 +7,8 @@
 #include <agateseam/api_key.hpp>
 #include <agateseam/claim.hpp>
 #include <agateseam/claim_ledger.hpp>
+#include <agateseam/cache_digest.hpp>
+#include <agateseam/cache_index.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/config_relay.hpp>
 #include <agateseam/config_store.hpp>
@@ -21,9 +23,14 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
+#include <agateseam/share_directory.hpp>
+#include <agateseam/share_holder.hpp>
+#include <agateseam/share_home.hpp>
+#include <agateseam/share_messages.hpp>
 #include <agateseam/static_admission.hpp>
 #include <agateseam/usage.hpp>
 #include <agateseam/usage_batch.hpp>
 #include <agateseam/usage_ledger.hpp>
 #include <agateseam/usage_meter.hpp>
 #include <agateseam/version.hpp>
+#include <agateseam/work_estimator.hpp>
--- a/include/agateseam/allowance.hpp
+++ b/include/agateseam/allowance.hpp
@@ -37,8 +37,11 @@
 /// are reserved early and delivered late in a bunch, because reserved tokens stay inside
 /// the burst until they are counted: the level refills only up to burst - outstanding.
 ///
-/// \remarks A bucket begins empty. When rate or burst change, the greatest values that
-/// were in force in the window count. Bursts are capped at `burst_limit`.
+/// \remarks A bucket begins empty. When the rate changes, rate * (t - s) becomes the sum
+/// over the rates in force. When the burst changes, the greatest counts that was in force
+/// since the oldest reservation of which something was delivered in the window: what was
+/// reserved under a greater burst may still be delivered. Bursts are capped at
+/// `burst_limit`.
 class allowance final : public admission
 {
   public:
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -66,6 +66,17 @@
 struct claim_ledger_options;
 class claim_shard;
 class claim_ledger;
+struct share_account;
+struct share_line;
+struct share_report;
+struct share_grant;
+struct share_answer;
+struct share_census;
+struct share_census_answer;
+struct share_record;
+struct share_options;
+class share_home;
+class share_holder;
 
 // The numbered configuration.
 struct configuration;
@@ -88,7 +99,10 @@
 
 // The work of one backend server.
 class agent_scheduler;
+class cache_digest;
+class cache_index;
 class fair_queue;
+class work_estimator;
 struct scheduler_load;
 struct scheduler_options;
 struct slot_event;
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -15,6 +15,7 @@
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/static_admission.hpp>
+#include <daemon/lease_renewer.hpp>
 #include <daemon/config_peers.hpp>
 #include <daemon/key_watch.hpp>
 #include <daemon/messages.hpp>
@@ -84,6 +85,7 @@
     key_watch keys;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
+    std::unique_ptr<lease_renewer> renewer;
     std::atomic<duration::rep> admit_until{0}; ///< Monotonic; 0 before the first check.
     std::atomic<bool> leaving{false};
     std::atomic<std::size_t> open{0}; ///< Requests under way.
