--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -5,10 +5,10 @@
 #include <agateseam/agent_scheduler.hpp>
 #include <agateseam/allowance.hpp>
 #include <agateseam/api_key.hpp>
-#include <agateseam/claim.hpp>
-#include <agateseam/claim_ledger.hpp>
 #include <agateseam/cache_digest.hpp>
 #include <agateseam/cache_index.hpp>
+#include <agateseam/claim.hpp>
+#include <agateseam/claim_ledger.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/config_relay.hpp>
 #include <agateseam/config_store.hpp>
@@ -19,6 +19,7 @@
 #include <agateseam/fair_queue.hpp>
 #include <agateseam/forward_declarations.hpp>
 #include <agateseam/hybrid_clock.hpp>
+#include <agateseam/member_selection.hpp>
 #include <agateseam/metrics.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
--- a/include/agateseam/member.hpp
+++ b/include/agateseam/member.hpp
@@ -29,8 +29,9 @@
     backend_kind kind = backend_kind::service;
     std::string pool;
 
-    std::atomic<bool> leaving{false};
-    std::atomic<bool> silent{false}; ///< No heartbeat for too long.
+    std::atomic<bool> leaving{false};        ///< By its own word or the platform's.
+    std::atomic<bool> listed_leaving{false}; ///< By the platform's list.
+    std::atomic<bool> silent{false};         ///< No heartbeat for too long.
     std::atomic<std::uint32_t> slots{0};
     std::atomic<std::uint32_t> used{0};
     std::atomic<std::uint32_t> queued{0};
--- a/src/core/member.cpp
+++ b/src/core/member.cpp
@@ -25,7 +25,7 @@
     this->queued = report.queued;
     this->queued_tokens = report.queued_tokens;
     this->tokens_per_second = report.tokens_per_second;
-    this->leaving = report.leaving;
+    this->leaving = report.leaving || this->listed_leaving;
     this->sent = 0;
     this->sent_tokens = 0;
     this->heard = now.time_since_epoch().count();
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -15,9 +15,9 @@
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/static_admission.hpp>
-#include <daemon/lease_renewer.hpp>
 #include <daemon/config_peers.hpp>
 #include <daemon/key_watch.hpp>
+#include <daemon/lease_renewer.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
 #include <net/http_client.hpp>
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -111,6 +111,10 @@
         milliseconds(section.integer("first_token_ms", 10, longest_ms, 30'000));
     limits.silence = milliseconds(section.integer("silence_ms", 200, longest_ms, 2'000));
     limits.drain = milliseconds(section.integer("drain_ms", 0, longest_ms, 30'000));
+    limits.members =
+        static_cast<std::uint32_t>(section.integer("members", 2, 10'000, 64));
+    limits.heartbeats =
+        static_cast<std::uint32_t>(section.integer("heartbeats", 1, 10'000, 40));
     limits.attempts = static_cast<std::uint32_t>(section.integer("attempts", 1, 10, 3));
     limits.output_tokens =
         static_cast<std::uint32_t>(section.integer("output_tokens", 1, 1'000'000, 4'096));
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -41,8 +41,10 @@
     std::chrono::milliseconds first_token{30'000};
     std::chrono::milliseconds silence{2'000}; ///< Of a stream between our processes.
     std::chrono::milliseconds drain{30'000};  ///< From SIGTERM to the end.
-    std::uint32_t attempts = 3;               ///< Tries of one request.
-    std::uint32_t output_tokens = 4'096;      ///< Cap on a request's max_tokens.
+    std::uint32_t members = 64;          ///< Agents that an entry keeps in touch with.
+    std::uint32_t heartbeats = 40;       ///< Calls for load a second, over all agents.
+    std::uint32_t attempts = 3;          ///< Tries of one request.
+    std::uint32_t output_tokens = 4'096; ///< Cap on a request's max_tokens.
 };
 
 /// \brief Everything a daemon is told at start.
