Bench of the shared allowance: three policies against an omniscient bucket

Cause: which way takes a share back, and what sharing costs, was not measured. Change: share_node joins holder, home and the way to homes behind an abstract transport; the bench drives 24 of them in virtual time through eight scenarios, with a static split, with homes by time leases, and with homes that stay until the platform's list drops them.

--- /dev/null
+++ b/bench/allowance_run.cpp
@@ -0,0 +1,433 @@
+#include <bench/allowance_run.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace agateseam::bench
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t entry_count = 24;
+constexpr std::size_t chunk_count = 10; ///< Deliveries of one answer's output.
+constexpr seconds run_length{150};
+constexpr seconds warm_up{25};
+constexpr time_point fault_at{seconds(60)};
+constexpr seconds short_fault{30};
+constexpr seconds long_fault{60};
+constexpr seconds shift_period{10};
+constexpr duration sample_pause = milliseconds(100);
+constexpr double utilization = 0.7; ///< Of each rate, by tokens delivered.
+constexpr double flood_factor = 5;
+constexpr double burst_seconds = 10;
+constexpr double large_rate = 5'000; ///< Tokens per second; above it prompts are long.
+constexpr std::size_t shifted_entries = 3;
+constexpr std::string_view flooding = "kessler-masers";
+constexpr std::string_view watched = "kalahari-drafts"; ///< Its home meets the faults.
+
+/// One request as all policies meet it.
+struct traced_call
+{
+    time_point arrival;
+    std::size_t workspace = 0;
+    std::size_t entry = 0;
+    double prompt = 0;
+    double output_limit = 0;
+    double output = 0;
+    duration first_token{0};
+    duration length{0}; ///< From the first token to the last.
+};
+
+std::vector<allowance_terms> make_terms()
+{
+    std::vector<allowance_terms> terms{
+        {"kalahari-drafts", 40'000, 0}, {"kalahari-allergens", 25'000, 0},
+        {"kalahari-booking", 6'000, 0}, {"kalahari-orders", 2'000, 0},
+        {"kalahari-trial", 1'000, 0},   {"kessler-caesium", 30'000, 0},
+        {"kessler-masers", 20'000, 0},  {"kessler-registry", 3'000, 0},
+        {"kessler-audit", 1'000, 0},    {"kessler-trial", 500, 0},
+        {"large-tenant", 400'000, 0}};
+    for (allowance_terms& each : terms)
+    {
+        each.burst = each.rate * burst_seconds;
+    }
+    return terms;
+}
+
+/// Draws from both ends' range with equal weight.
+double between(pcg32& random, double least, double most)
+{
+    constexpr double steps = 1 << 20;
+    return least + (most - least) * (random(1U << 20) / steps);
+}
+
+bool shifts(share_scenario scenario)
+{
+    return scenario == share_scenario::demand_shift ||
+           scenario == share_scenario::store_outage;
+}
+
+std::size_t draw_entry(pcg32& random, share_scenario scenario, std::size_t workspace,
+                       time_point at)
+{
+    if (!shifts(scenario))
+    {
+        return random(entry_count);
+    }
+    const auto period = static_cast<std::size_t>(at.time_since_epoch() / shift_period);
+    const std::size_t first = (workspace * 5 + period * 7) % entry_count;
+    return (first + random(shifted_entries)) % entry_count;
+}
+
+traced_call draw_call(pcg32& random, double rate)
+{
+    const bool large = rate > large_rate;
+    traced_call call;
+    call.prompt =
+        std::floor(large ? between(random, 500, 6'000) : between(random, 100, 900));
+    call.output_limit = large ? 600 : 200;
+    call.output = std::floor(between(random, 0.3, 1.0) * call.output_limit);
+    call.first_token = milliseconds(100 + random(500));
+    call.length = milliseconds(2'000 + random(6'000));
+    return call;
+}
+
+/// Poisson arrivals of each workspace, in the order of time.
+std::vector<traced_call> make_trace(const std::vector<allowance_terms>& terms,
+                                    share_scenario scenario, std::uint64_t seed)
+{
+    std::vector<traced_call> trace;
+    for (std::size_t index = 0; index < terms.size(); ++index)
+    {
+        pcg32 random(seed, index);
+        const double rate = terms[index].rate;
+        const bool large = rate > large_rate;
+        const double mean = large ? 3'250 + 390 : 500 + 130;
+        const bool floods = scenario == share_scenario::tenant_flood &&
+                            terms[index].workspace == flooding;
+        const double per_second = rate * utilization / mean * (floods ? flood_factor : 1);
+        duration at{0};
+        while (true)
+        {
+            const double gap = -std::log(1 - between(random, 0, 1)) / per_second;
+            at +=
+                std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap));
+            if (at >= run_length)
+            {
+                break;
+            }
+            traced_call call = draw_call(random, rate);
+            call.arrival = time_point(at);
+            call.workspace = index;
+            call.entry = draw_entry(random, scenario, index, call.arrival);
+            trace.push_back(call);
+        }
+    }
+    std::stable_sort(trace.begin(), trace.end(),
+                     [](const auto& left, const auto& right)
+                     { return left.arrival < right.arrival; });
+    return trace;
+}
+
+/// Calls `part` with the tokens of each delivery and `end` with what is left over.
+template <typename Part, typename End>
+void schedule(virtual_loop& loop, const traced_call& call, const Part& part,
+              const End& end)
+{
+    loop.after(call.first_token, [call, part] { part(call.prompt); });
+    double sent = 0;
+    for (std::size_t chunk = 1; chunk <= chunk_count; ++chunk)
+    {
+        const double upto = std::floor(call.output * static_cast<double>(chunk) /
+                                       static_cast<double>(chunk_count));
+        const double tokens = upto - sent;
+        sent = upto;
+        const duration due =
+            call.first_token + call.length * static_cast<int>(chunk) / chunk_count;
+        loop.after(due, [tokens, part] { part(tokens); });
+    }
+    loop.after(call.first_token + call.length + milliseconds(1),
+               [call, end] { end(call.output_limit - call.output); });
+}
+
+/// What one bucket that sees everything at once admits.
+std::vector<bool> run_omniscient(const std::vector<allowance_terms>& terms,
+                                 const std::vector<traced_call>& trace)
+{
+    virtual_loop loop;
+    const auto bucket = std::move(*allowance::create(loop.time));
+    bucket->configure(terms);
+    std::vector<bool> admitted(trace.size());
+    for (std::size_t at = 0; at < trace.size(); ++at)
+    {
+        loop.at(trace[at].arrival,
+                [&, at]
+                {
+                    const traced_call& call = trace[at];
+                    const std::string& name = terms[call.workspace].workspace;
+                    admitted[at] =
+                        bucket->reserve(name, call.prompt + call.output_limit).admitted;
+                    if (admitted[at])
+                    {
+                        schedule(
+                            loop, call,
+                            [&bucket, &name](double tokens)
+                            { bucket->deliver(name, tokens); },
+                            [&bucket, &name](double rest)
+                            { bucket->release(name, rest); });
+                    }
+                });
+    }
+    loop.run_until(time_point(run_length));
+    return admitted;
+}
+
+/// Checks the deliveries of one workspace from outside, over every window.
+class window_check
+{
+  public:
+    explicit window_check(const allowance_terms& kept)
+        : terms(kept)
+    {
+    }
+
+    /// The excess is the greatest of all windows that end now.
+    void add(time_point at, double tokens)
+    {
+        const std::chrono::duration<double> passed = at - this->last;
+        this->last = at;
+        this->excess = std::max(0.0, this->excess - passed.count() * this->terms.rate);
+        this->excess += tokens;
+        this->worst = std::max(this->worst, this->excess - this->terms.burst);
+    }
+
+    [[nodiscard]] double overshoot() const
+    {
+        constexpr double rounding = 0.01; // tokens
+        return this->worst > rounding ? this->worst : 0;
+    }
+
+  private:
+    allowance_terms terms;
+    time_point last;
+    double excess = 0;
+    double worst = 0;
+};
+
+/// One run under one policy.
+class share_run
+{
+  public:
+    share_run(share_scenario chosen, share_policy policy, std::uint64_t seed)
+        : scenario(chosen)
+        , terms(make_terms())
+        , trace(make_trace(this->terms, chosen, seed))
+        , fleet(this->loop, policy, entry_count, this->terms, seed)
+        , outcomes(this->trace.size(), outcome::lost)
+    {
+        for (const allowance_terms& each : this->terms)
+        {
+            this->checks.emplace_back(each);
+        }
+    }
+
+    share_figures run()
+    {
+        for (std::size_t at = 0; at < this->trace.size(); ++at)
+        {
+            this->loop.at(this->trace[at].arrival, [this, at] { this->arrive(at); });
+        }
+        this->loop.at(fault_at, [this] { this->break_things(); });
+        this->sample();
+        this->loop.run_until(time_point(run_length));
+        return this->judge();
+    }
+
+  private:
+    enum class outcome : std::uint8_t
+    {
+        lost,
+        admitted,
+        refused
+    };
+
+    /// The platform's balancer passes over entries that do not answer.
+    [[nodiscard]] std::size_t balance(std::size_t wanted) const
+    {
+        std::size_t entry = wanted;
+        while (!this->fleet.reachable(entry))
+        {
+            entry = (entry + 1) % entry_count;
+        }
+        return entry;
+    }
+
+    void arrive(std::size_t at)
+    {
+        const traced_call& call = this->trace[at];
+        const std::size_t entry = this->balance(call.entry);
+        this->fleet.ask(entry, this->terms[call.workspace].workspace,
+                        call.prompt + call.output_limit,
+                        [this, at, entry](const admission_decision& decision)
+                        { this->decided(at, entry, decision.admitted); });
+    }
+
+    void decided(std::size_t at, std::size_t entry, bool admitted)
+    {
+        this->outcomes[at] = admitted ? outcome::admitted : outcome::refused;
+        if (!admitted)
+        {
+            return;
+        }
+        const std::size_t workspace = this->trace[at].workspace;
+        schedule(
+            this->loop, this->trace[at],
+            [this, entry, workspace](double tokens)
+            { this->deliver(entry, workspace, tokens); },
+            [this, entry, workspace](double rest)
+            { this->release(entry, workspace, rest); });
+    }
+
+    void deliver(std::size_t entry, std::size_t workspace, double tokens)
+    {
+        if (!this->fleet.alive(entry))
+        {
+            return;
+        }
+        if (!this->fleet.reachable(entry)) // paused: all goes out when it wakes
+        {
+            this->loop.at(this->fleet.paused_until(entry),
+                          [this, entry, workspace, tokens]
+                          { this->deliver(entry, workspace, tokens); });
+            return;
+        }
+        if (this->fleet.deliver(entry, this->terms[workspace].workspace, tokens))
+        {
+            this->checks[workspace].add(this->loop.time.now(), tokens);
+        }
+    }
+
+    void release(std::size_t entry, std::size_t workspace, double rest)
+    {
+        if (!this->fleet.alive(entry))
+        {
+            return;
+        }
+        if (!this->fleet.reachable(entry))
+        {
+            this->loop.at(this->fleet.paused_until(entry), [this, entry, workspace, rest]
+                          { this->release(entry, workspace, rest); });
+            return;
+        }
+        this->fleet.release(entry, this->terms[workspace].workspace, rest);
+    }
+
+    void break_things()
+    {
+        const std::size_t home = this->fleet.home_of(std::string(watched));
+        switch (this->scenario)
+        {
+        case share_scenario::lost_answers:
+            this->fleet.set_losing_answers(true);
+            this->fleet.kill(home);
+            break;
+        case share_scenario::entry_lost:
+            this->fleet.kill(home);
+            break;
+        case share_scenario::entry_paused:
+            this->fleet.pause(home, short_fault);
+            break;
+        case share_scenario::partition:
+            this->fleet.part(entry_count / 3, true);
+            this->loop.after(short_fault, [this] { this->fleet.part(0, false); });
+            break;
+        case share_scenario::store_outage:
+            this->fleet.set_store_down(true);
+            this->loop.after(long_fault, [this] { this->fleet.set_store_down(false); });
+            break;
+        default:
+            break;
+        }
+    }
+
+    /// Adds up, share by share, how long an allowance has no home that grants it; of a
+    /// fixed split, the parts of entries that do not run.
+    void sample()
+    {
+        const double step = std::chrono::duration<double>(sample_pause).count();
+        if (this->loop.time.now() >= time_point(warm_up))
+        {
+            for (const allowance_terms& each : this->terms)
+            {
+                this->stranded += step * this->fleet.unserved(each.workspace);
+            }
+        }
+        this->loop.after(sample_pause, [this] { this->sample(); });
+    }
+
+    [[nodiscard]] share_figures judge() const
+    {
+        const std::vector<bool> omniscient = run_omniscient(this->terms, this->trace);
+        share_figures figures;
+        for (std::size_t at = 0; at < this->trace.size(); ++at)
+        {
+            if (this->trace[at].arrival < time_point(warm_up))
+            {
+                continue;
+            }
+            ++figures.requests;
+            const bool refused = this->outcomes[at] == outcome::refused;
+            figures.refused += refused ? 1 : 0;
+            figures.refused_by_omniscient += omniscient[at] ? 0 : 1;
+            figures.wrongful += refused && omniscient[at] ? 1 : 0;
+            figures.lost += this->outcomes[at] == outcome::lost ? 1 : 0;
+        }
+        for (const window_check& each : this->checks)
+        {
+            figures.overshoot = std::max(figures.overshoot, each.overshoot());
+        }
+        const auto whole = static_cast<double>(run_length.count());
+        figures.stranded = this->stranded;
+        figures.messages =
+            static_cast<double>(this->fleet.counts.messages) / whole / entry_count;
+        figures.store_calls = static_cast<double>(this->fleet.counts.store_calls) / whole;
+        return figures;
+    }
+
+    share_scenario scenario;
+    std::vector<allowance_terms> terms;
+    std::vector<traced_call> trace;
+    virtual_loop loop;
+    fleet_model fleet;
+    std::vector<outcome> outcomes;
+    std::vector<window_check> checks;
+    double stranded = 0;
+};
+
+} // namespace
+
+std::string_view to_string(share_scenario scenario) noexcept
+{
+    constexpr std::array<std::string_view, 8> names{
+        "steady",       "demand_shift", "tenant_flood", "entry_lost",
+        "entry_paused", "partition",    "store_outage", "lost_answers"};
+    return names[static_cast<std::size_t>(scenario)];
+}
+
+double share_figures::wrongful_share() const noexcept
+{
+    return this->requests == 0 ? 0
+                               : static_cast<double>(this->wrongful) /
+                                     static_cast<double>(this->requests);
+}
+
+share_figures run_shares(share_scenario scenario, share_policy policy, std::uint64_t seed)
+{
+    return share_run(scenario, policy, seed).run();
+}
+
+} // namespace agateseam::bench
--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -13,5 +13,7 @@
 #include <agateseam/share_holder.hpp>
 #include <agateseam/share_home.hpp>
 #include <agateseam/share_messages.hpp>
+#include <agateseam/share_node.hpp>
+#include <agateseam/share_transport.hpp>
 #include <agateseam/static_admission.hpp>
 #include <agateseam/version.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -43,6 +43,8 @@
 struct share_options;
 class share_home;
 class share_holder;
+class share_node;
+class share_transport;
 
 // Requests.
 enum class run_state : std::uint8_t;
