--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -2,10 +2,24 @@
 #pragma once
 
 #include <agateseam/admission.hpp>
+#include <agateseam/agent_scheduler.hpp>
 #include <agateseam/allowance.hpp>
+#include <agateseam/api_key.hpp>
+#include <agateseam/cache_digest.hpp>
+#include <agateseam/cache_index.hpp>
+#include <agateseam/claim.hpp>
+#include <agateseam/claim_ledger.hpp>
 #include <agateseam/clock.hpp>
+#include <agateseam/config_relay.hpp>
+#include <agateseam/config_store.hpp>
+#include <agateseam/configuration.hpp>
 #include <agateseam/error.hpp>
+#include <agateseam/event.hpp>
+#include <agateseam/event_log.hpp>
+#include <agateseam/fair_queue.hpp>
 #include <agateseam/forward_declarations.hpp>
+#include <agateseam/hybrid_clock.hpp>
+#include <agateseam/metrics.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
@@ -16,4 +30,9 @@
 #include <agateseam/share_node.hpp>
 #include <agateseam/share_transport.hpp>
 #include <agateseam/static_admission.hpp>
+#include <agateseam/usage.hpp>
+#include <agateseam/usage_batch.hpp>
+#include <agateseam/usage_ledger.hpp>
+#include <agateseam/usage_meter.hpp>
 #include <agateseam/version.hpp>
+#include <agateseam/work_estimator.hpp>
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -8,12 +8,15 @@
 #include <unordered_map>
 
 #include <agateseam/api_key.hpp>
-#include <agateseam/configuration.hpp>
+#include <agateseam/claim_ledger.hpp>
+#include <agateseam/config_store.hpp>
 #include <agateseam/member.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/static_admission.hpp>
+#include <daemon/config_peers.hpp>
+#include <daemon/lease_renewer.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
 #include <net/http_client.hpp>
@@ -60,6 +63,9 @@
     /// \returns the workspace's name; `unauthorized` without a valid key.
     [[nodiscard]] result<std::string> authenticate(const http_request& request) const;
 
+    /// \brief Tells whether requests may be admitted under the configuration in force.
+    [[nodiscard]] bool may_admit() const noexcept;
+
     /// \brief Takes over the load that came with an agent's answer.
     void note_load(const std::vector<http_header>& head);
 
@@ -68,8 +74,14 @@
     entry_board board;
     std::unique_ptr<http_client> client;
     std::unique_ptr<object_store> store;
+    std::unique_ptr<claim_ledger> claims;
+    std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
+    std::unique_ptr<config_relay> relay;
+    std::unique_ptr<config_peers> peers;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
+    std::unique_ptr<lease_renewer> renewer;
+    std::atomic<duration::rep> admit_until{0}; ///< Monotonic; 0 before the first check.
     std::atomic<bool> leaving{false};
     std::atomic<std::size_t> open{0}; ///< Requests under way.
 
--- a/src/daemon/member_controller.cpp
+++ b/src/daemon/member_controller.cpp
@@ -79,6 +79,15 @@
     }
     this->context->allowance->set_entries(
         sharing_entries(*listed, this->context->settings.vm));
+    std::vector<peer_record> entries;
+    for (const vm_record& vm : *listed)
+    {
+        if (vm.role == "entry")
+        {
+            entries.push_back({vm.name, vm.address, vm.failure_domain});
+        }
+    }
+    this->context->relay->set_peers(std::move(entries));
     auto next = std::make_unique<member_list>();
     {
         const auto known = this->context->board.members.read();
