--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -77,6 +77,8 @@
 struct share_options;
 class share_home;
 class share_holder;
+class share_node;
+class share_transport;
 
 // The numbered configuration.
 struct configuration;
