--- /dev/null
+++ b/src/daemon/attempt_meter.cpp
@@ -0,0 +1,101 @@
+#include <daemon/attempt_meter.hpp>
+
+namespace agateseam
+{
+
+attempt_meter::attempt_meter(process_telemetry& shared, const attempt_order& order)
+    : telemetry(&shared)
+    , request(order.id.request)
+    , attempt(order.id.attempt)
+    , workspace(order.workspace)
+    , pool(shared.settings.backend.pool)
+    , resumed(order.resume_from > 0)
+{
+}
+
+void attempt_meter::note(event_kind kind, std::string_view peer, std::int64_t value,
+                         std::string_view detail)
+{
+    this->telemetry->events.add(
+        {kind, this->request, this->attempt, this->workspace, peer, value, detail});
+}
+
+void attempt_meter::engine_begun() noexcept
+{
+    this->begun = this->telemetry->time->now();
+}
+
+std::uint64_t attempt_meter::engine_microseconds() const noexcept
+{
+    if (this->begun == time_point{})
+    {
+        return 0;
+    }
+    const duration passed = this->telemetry->time->now() - this->begun;
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(passed).count());
+}
+
+void attempt_meter::prefilled(std::uint64_t microseconds, std::uint64_t prompt)
+{
+    this->prefill_microseconds = microseconds;
+    this->prompt_tokens = prompt;
+    this->telemetry->metrics.prefill_tokens.add(prompt);
+}
+
+void attempt_meter::charge(const usage_counters& counters)
+{
+    this->telemetry->usage.add(this->workspace, this->pool, counters);
+}
+
+void attempt_meter::end()
+{
+    if (this->ended)
+    {
+        return;
+    }
+    this->ended = true;
+    const bool received = this->tokens > 0;
+    const bool prefill_wasted = !received || this->resumed;
+    usage_counters counters;
+    if (received)
+    {
+        counters.decode_microseconds = this->engine_microseconds();
+        counters.link_bytes =
+            this->prompt_tokens * this->telemetry->settings.backend.kv_bytes_per_token;
+    }
+    else
+    {
+        counters.wasted_microseconds = this->engine_microseconds();
+    }
+    if (prefill_wasted)
+    {
+        counters.wasted_microseconds += this->prefill_microseconds;
+        counters.wasted_prompt_tokens = this->prompt_tokens;
+        this->telemetry->metrics.wasted_prefill_tokens.add(this->prompt_tokens);
+    }
+    else
+    {
+        counters.prefill_microseconds = this->prefill_microseconds;
+    }
+    this->telemetry->metrics.decoded_tokens.add(this->tokens);
+    this->charge(counters);
+}
+
+void attempt_meter::prefill_lost(std::uint64_t prompt)
+{
+    if (this->ended)
+    {
+        return;
+    }
+    this->ended = true;
+    usage_counters counters;
+    counters.wasted_prompt_tokens = prompt;
+    counters.wasted_microseconds = this->engine_microseconds();
+    this->telemetry->metrics.prefill_tokens.add(prompt);
+    this->telemetry->metrics.wasted_prefill_tokens.add(prompt);
+    this->charge(counters);
+    this->note(event_kind::prefill_lost, {}, static_cast<std::int64_t>(prompt));
+}
+
+} // namespace agateseam
--- /dev/null
+++ b/src/daemon/telemetry.cpp
@@ -0,0 +1,204 @@
+#include <daemon/telemetry.hpp>
+
+#include <charconv>
+
+#include <agateseam/version.hpp>
+#include <daemon/api_error.hpp>
+#include <daemon/messages.hpp>
+
+namespace agateseam
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr std::size_t event_page = 20'000; // events in one answer
+
+std::uint64_t number_argument(const http_request& request, std::string_view name)
+{
+    const std::string text = request.query_argument(name);
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+} // namespace
+
+process_telemetry::process_telemetry(const daemon_settings& given,
+                                     const clock_source& clock, std::uint64_t start)
+    : settings(given)
+    , time(&clock)
+    , incarnation(start)
+    , stamps(clock)
+    , events(given.vm, stamps)
+    , outbox(given.vm, start)
+{
+    this->events.add({event_kind::process_started, "", 0, "", "",
+                      static_cast<std::int64_t>(start)});
+}
+
+http_header process_telemetry::stamp_header()
+{
+    return {std::string(headers::stamp), to_text(this->stamps.tick())};
+}
+
+void process_telemetry::take_stamp(std::string_view text)
+{
+    if (const auto stamp = parse_hybrid_time(text))
+    {
+        this->stamps.merge(*stamp);
+    }
+}
+
+void process_telemetry::take_stamp(const std::vector<http_header>& head)
+{
+    for (const auto& [name, value] : head)
+    {
+        if (name == headers::stamp)
+        {
+            this->take_stamp(value);
+        }
+    }
+}
+
+bool process_telemetry::serve(http_exchange& exchange, bool trusted)
+{
+    const http_request& request = exchange.request();
+    if (request.path == "/metrics")
+    {
+        exchange.respond(
+            status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+            to_prometheus(this->metrics, this->read_gauges(), this->time->now()));
+        return true;
+    }
+    const bool own = request.path == "/events" || request.path == "/status";
+    if (own && !trusted)
+    {
+        respond(exchange, to_api_error({error_code::unauthorized, "telemetry", "",
+                                        "the credentials are missing or wrong"},
+                                       run_state::not_run));
+    }
+    else if (request.path == "/events")
+    {
+        exchange.respond(status_ok, {{"Content-Type", "application/x-ndjson"}},
+                         this->event_lines(request));
+    }
+    else if (request.path == "/status")
+    {
+        exchange.respond(status_ok, {{"Content-Type", "application/json"}},
+                         this->status());
+    }
+    return own;
+}
+
+process_gauges process_telemetry::read_gauges() const
+{
+    process_gauges read = this->gauges ? this->gauges() : process_gauges{};
+    read.events = this->events.added();
+    read.events_dropped = this->events.dropped();
+    read.usage_rows_waiting = this->outbox.rows();
+    read.usage_writes = this->usage_writes.value();
+    read.usage_write_failures = this->usage_write_failures.value();
+    return read;
+}
+
+std::string process_telemetry::event_lines(const http_request& request) const
+{
+    std::string lines;
+    for (const event& item :
+         this->events.after(number_argument(request, "after"), event_page))
+    {
+        lines += to_json(item).dump(-1, ' ', true, json::error_handler_t::replace);
+        lines += '\n';
+    }
+    return lines;
+}
+
+std::string process_telemetry::status() const
+{
+    const process_gauges read = this->read_gauges();
+    const bool entry = this->settings.role == daemon_role::entry;
+    return json{{"vm", this->settings.vm},
+                {"role", entry ? "entry" : "agent"},
+                {"version", AGATESEAM_VERSION},
+                {"failure_domain", this->settings.failure_domain},
+                {"incarnation", this->incarnation},
+                {"pool", this->settings.backend.pool},
+                {"slots", read.slots},
+                {"slots_held", read.slots_held},
+                {"waiting", read.waiting},
+                {"open", read.open},
+                {"config_number", read.config_number},
+                {"store_reachable", this->store_reachable.load()},
+                {"usage_rows_waiting", read.usage_rows_waiting},
+                {"events", read.events},
+                {"events_dropped", read.events_dropped},
+                {"admitted", this->metrics.admitted.value()},
+                {"whole", this->metrics.whole.value()},
+                {"good", this->metrics.good.value()},
+                {"refused_inside_rate", this->metrics.refused_inside_rate.value()},
+                {"output_tokens", this->metrics.output_tokens.value()}}
+        .dump();
+}
+
+json to_json(const event& item)
+{
+    json line{{"sequence", item.sequence}, {"stamp", item.stamp.packed},
+              {"ms", item.stamp.milliseconds()},
+              {"process", item.process},   {"event", to_string(item.kind)}};
+    const std::pair<const char*, const std::string&> texts[] = {
+        {"request", item.request},
+        {"workspace", item.workspace},
+        {"peer", item.peer},
+        {"detail", item.detail}};
+    for (const auto& [name, text] : texts)
+    {
+        if (!text.empty())
+        {
+            line[name] = text;
+        }
+    }
+    if (item.attempt != 0)
+    {
+        line["attempt"] = item.attempt;
+    }
+    if (item.value != 0)
+    {
+        line["value"] = item.value;
+    }
+    return line;
+}
+
+result<event> parse_event(std::string_view line)
+{
+    try
+    {
+        const json source = json::parse(line);
+        const auto kind = event_kind_named(source.at("event").get<std::string>());
+        if (!kind)
+        {
+            return tl::unexpected<error>(kind.error());
+        }
+        event item;
+        item.kind = *kind;
+        source.at("sequence").get_to(item.sequence);
+        source.at("stamp").get_to(item.stamp.packed);
+        source.at("process").get_to(item.process);
+        item.request = source.value("request", "");
+        item.workspace = source.value("workspace", "");
+        item.peer = source.value("peer", "");
+        item.detail = source.value("detail", "");
+        item.attempt = source.value("attempt", std::uint32_t{0});
+        item.value = source.value("value", std::int64_t{0});
+        return item;
+    }
+    catch (const json::exception& fault)
+    {
+        return fail(error_code::invalid, "read event", "", fault.what());
+    }
+}
+
+} // namespace agateseam
