--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -1,6 +1,8 @@
 /// The whole public library.
 #pragma once
 
+#include <agateseam/admission.hpp>
+#include <agateseam/allowance.hpp>
 #include <agateseam/clock.hpp>
 #include <agateseam/error.hpp>
 #include <agateseam/event.hpp>
@@ -11,6 +13,7 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
+#include <agateseam/static_admission.hpp>
 #include <agateseam/usage.hpp>
 #include <agateseam/usage_batch.hpp>
 #include <agateseam/usage_ledger.hpp>
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -8,6 +8,7 @@
 #include <agateseam/api_key.hpp>
 #include <daemon/agent_context.hpp>
 #include <daemon/api_error.hpp>
+#include <daemon/usage_controller.hpp>
 
 namespace agateseam
 {
@@ -38,6 +39,7 @@
         {
             this->beater.join();
         }
+        this->usage.reset();
         this->server.reset();
         this->context->client.reset();
     }
@@ -46,12 +48,19 @@
 
     [[nodiscard]] result<void> start()
     {
+        this->context->telemetry->gauges = [shared = this->context.get()]
+        {
+            const load_report load = shared->report();
+            return process_gauges{load.slots, load.used, load.queued, shared->open};
+        };
         auto created = http_server::create(this->context->settings.listen, *this);
         if (!created)
         {
             return tl::unexpected<error>(created.error());
         }
         this->server = std::move(*created);
+        this->usage = std::make_unique<usage_controller>(*this->context->telemetry,
+                                                         *this->context->client);
         this->beater = std::thread([this] { this->beat(); });
         return {};
     }
@@ -73,8 +82,10 @@
             exchange->respond(path == "/readyz" && this->context->leaving ? 503 : 200, {},
                               "");
         }
-        else if (!equal_secrets(exchange->request().header(headers::fleet),
-                                this->context->settings.fleet_secret))
+        else if (this->context->telemetry->serve(*exchange, this->trusted(*exchange)))
+        {
+        }
+        else if (!this->trusted(*exchange))
         {
             respond(*exchange, to_api_error({error_code::unauthorized, "receive order",
                                              "", "the fleet secret is missing or wrong"},
@@ -97,9 +108,16 @@
     }
 
   private:
+    [[nodiscard]] bool trusted(const http_exchange& exchange) const
+    {
+        return equal_secrets(exchange.request().header(headers::fleet),
+                             this->context->settings.fleet_secret);
+    }
+
     void take_order(const std::shared_ptr<http_exchange>& exchange)
     {
         const http_request& request = exchange->request();
+        this->context->telemetry->take_stamp(request.header(headers::stamp));
         auto order = parse_attempt_order(request.header(headers::attempt));
         if (!order)
         {
@@ -150,6 +168,7 @@
 
     std::unique_ptr<agent_context> context;
     std::unique_ptr<http_server> server;
+    std::unique_ptr<usage_controller> usage;
     std::mutex mutex;
     std::condition_variable wake;
     bool stopping = false;
--- a/src/daemon/agent_context.cpp
+++ b/src/daemon/agent_context.cpp
@@ -48,6 +48,8 @@
     context->client = std::move(*client);
     context->incarnation =
         static_cast<std::uint64_t>(context->time.wall_now().time_since_epoch().count());
+    context->telemetry = std::make_unique<process_telemetry>(settings, context->time,
+                                                             context->incarnation);
     return context;
 }
 
--- a/src/daemon/agent_context.hpp
+++ b/src/daemon/agent_context.hpp
@@ -13,6 +13,7 @@
 #include <agateseam/request.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
+#include <daemon/telemetry.hpp>
 #include <net/http_client.hpp>
 
 namespace agateseam
@@ -77,6 +78,7 @@
     std::atomic<std::uint32_t> waiting{0};        ///< Prefills that wait or run.
     std::atomic<std::uint64_t> waiting_tokens{0}; ///< Their prompt tokens.
     std::atomic<std::size_t> open{0};             ///< Attempts under way.
+    std::unique_ptr<process_telemetry> telemetry;
     std::unique_ptr<http_client> client;
 
   private:
--- a/src/daemon/attempt_meter.cpp
+++ b/src/daemon/attempt_meter.cpp
@@ -1,5 +1,9 @@
 #include <daemon/attempt_meter.hpp>
 
+#include <charconv>
+
+#include <daemon/request_meter.hpp>
+
 namespace agateseam
 {
 
@@ -36,11 +40,25 @@
         std::chrono::duration_cast<std::chrono::microseconds>(passed).count());
 }
 
-void attempt_meter::prefilled(std::uint64_t microseconds, std::uint64_t prompt)
+http_header attempt_meter::engine_time_header() const
 {
-    this->prefill_microseconds = microseconds;
-    this->prompt_tokens = prompt;
-    this->telemetry->metrics.prefill_tokens.add(prompt);
+    return {std::string(headers::engine_time),
+            std::to_string(this->engine_microseconds())};
+}
+
+void attempt_meter::prefilled(const http_reply& reply, const nlohmann::json& usage)
+{
+    const std::string_view text = reply.header(headers::engine_time);
+    std::from_chars(text.data(), text.data() + text.size(), this->prefill_microseconds);
+    this->prompt_tokens = read_engine_usage(usage).prompt_tokens;
+    this->telemetry->metrics.prefill_tokens.add(this->prompt_tokens);
+    this->note(event_kind::transfer_begun);
+}
+
+void attempt_meter::cancelled()
+{
+    this->telemetry->metrics.cancelled_attempts.add();
+    this->note(event_kind::cancelled, {}, static_cast<std::int64_t>(this->tokens));
 }
 
 void attempt_meter::charge(const usage_counters& counters)
--- a/src/daemon/attempt_meter.hpp
+++ b/src/daemon/attempt_meter.hpp
@@ -8,6 +8,7 @@
 #include <agateseam/clock.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/telemetry.hpp>
+#include <net/http_client.hpp>
 
 namespace agateseam
 {
@@ -29,16 +30,24 @@
     /// \brief Returns the engine time since engine_begun, in microseconds.
     [[nodiscard]] std::uint64_t engine_microseconds() const noexcept;
 
+    /// \brief Returns the header that tells a decode agent the engine time so far.
+    [[nodiscard]] http_header engine_time_header() const;
+
     /// \brief The prefill was done elsewhere and its result is taken over.
-    /// \param microseconds engine time as the prefill agent reports it.
-    void prefilled(std::uint64_t microseconds, std::uint64_t prompt_tokens);
+    /// \param reply the prefill agent's answer, with its engine time.
+    /// \param usage the engine's counts.
+    void prefilled(const http_reply& reply, const nlohmann::json& usage);
+
+    /// \brief A chunk went to the relay, with a token or without.
+    void token(bool carried) noexcept { this->tokens += carried ? 1 : 0; }
 
-    /// \brief One more token went to the relay.
-    void token() noexcept { ++this->tokens; }
+    /// \brief The relay has gone.
+    void cancelled();
 
     /// \brief The attempt ended, whole or not; later calls change nothing.
-    /// \remarks Engine time goes to the workspace when tokens went to the relay, and to the
-    /// waste when none did. A resumed attempt's prefill was paid for before: it is waste.
+    /// \remarks Engine time goes to the workspace when tokens went to the relay, and to
+    /// the waste when none did. A resumed attempt's prefill was paid for before: it is
+    /// waste.
     void end();
 
     /// \brief A prefill ended here whose result nobody will decode.
--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <daemon/api_error.hpp>
+#include <daemon/attempt_meter.hpp>
 #include <daemon/server_sent_events.hpp>
 
 namespace agateseam
@@ -27,12 +28,16 @@
         , exchange(std::move(relay))
         , order(std::move(accepted))
         , delivered(order.resume_from)
+        , meter(*shared.telemetry, this->order)
     {
         ++this->context->open;
+        this->meter.note(event_kind::slot_taken);
     }
 
     ~decode_attempt() override
     {
+        this->meter.end();
+        this->meter.note(event_kind::released);
         this->context->release_slot();
         --this->context->open;
     }
@@ -43,8 +48,10 @@
     void start()
     {
         this->body = json::parse(this->exchange->take_body(), nullptr, false);
-        this->exchange->begin_stream(status_ok, {{"Content-Type", "text/event-stream"},
-                                                 this->context->load_header()});
+        this->exchange->begin_stream(status_ok,
+                                     {{"Content-Type", "text/event-stream"},
+                                      this->context->load_header(),
+                                      this->context->telemetry->stamp_header()});
         if (!this->body.is_object())
         {
             this->end(run_state::not_run, {error_code::invalid, "decode", "",
@@ -130,7 +137,8 @@
         prefill.total_timeout = this->order.deadline;
         prefill.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
-            {std::string(headers::attempt), to_text(this->order)}};
+            {std::string(headers::attempt), to_text(this->order)},
+            this->context->telemetry->stamp_header()};
         prefill.body = this->body.dump();
         this->next_call(
             [&]
@@ -159,6 +167,8 @@
             return;
         }
         this->prefill_usage = answer.value("usage", json::object());
+        this->context->telemetry->take_stamp(reply->headers);
+        this->meter.prefilled(*reply, this->prefill_usage);
         this->start_decode(answer["kv_transfer_params"]);
     }
 
@@ -171,6 +181,7 @@
         {
             this->body["resume_from"] = this->order.resume_from;
         }
+        this->meter.engine_begun();
         http_call decode;
         decode.method = "POST";
         decode.url = this->context->settings.backend.url + this->order.path;
@@ -203,7 +214,9 @@
         const json choices = chunk.value("choices", json::array());
         if (!choices.empty())
         {
-            this->delivered += carries_token(choices[0]) ? 1 : 0;
+            const bool token = carries_token(choices[0]);
+            this->delivered += token ? 1 : 0;
+            this->meter.token(token);
             const std::string number = std::to_string(this->delivered);
             this->exchange->write(to_text({"", number, event.data}));
         }
@@ -240,6 +253,7 @@
             this->given_up = true;
             running = this->call;
         }
+        this->meter.cancelled();
         this->context->attempts.end(this->order.id, run_state::ran,
                                     this->context->time.now());
         this->abort_at_engine();
@@ -277,6 +291,9 @@
     void finish(run_state run)
     {
         this->context->attempts.end(this->order.id, run, this->context->time.now());
+        this->meter.end();
+        const std::string stamp = this->context->telemetry->stamp_header().second;
+        this->exchange->write(to_text({"stamp", "", stamp}));
         this->exchange->finish();
     }
 
@@ -287,6 +304,7 @@
     json prefill_usage;
     event_splitter events;
     std::uint32_t delivered;
+    attempt_meter meter;
     int engine_status = 0;
     bool complete = false;
     std::mutex mutex;
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -10,6 +10,8 @@
 #include <daemon/config_controller.hpp>
 #include <daemon/entry_context.hpp>
 #include <daemon/member_controller.hpp>
+#include <daemon/usage_collector.hpp>
+#include <daemon/usage_controller.hpp>
 
 namespace agateseam
 {
@@ -37,9 +39,11 @@
         {
             this->operator_worker.join();
         }
+        this->usage.reset();
         this->config.reset();
         this->members.reset();
         this->server.reset();
+        this->collector.reset();
         this->context->client.reset();
     }
     entry(const entry&) = delete;
@@ -49,6 +53,10 @@
     {
         this->config = std::make_unique<config_controller>(*this->context);
         this->members = std::make_unique<member_controller>(*this->context);
+        this->collector = std::make_unique<usage_collector>(*this->context->telemetry,
+                                                            *this->context->store);
+        this->context->telemetry->gauges = [shared = this->context.get()]
+        { return shared->gauges(); };
         this->operator_worker = std::thread([this] { this->serve_operators(); });
         auto created = http_server::create(this->context->settings.listen, *this);
         if (!created)
@@ -56,6 +64,8 @@
             return tl::unexpected<error>(created.error());
         }
         this->server = std::move(*created);
+        this->usage = std::make_unique<usage_controller>(*this->context->telemetry,
+                                                         *this->context->client);
         return {};
     }
 
@@ -79,6 +89,16 @@
         {
             exchange->respond(this->ready() ? 200 : 503, {}, "");
         }
+        else if (this->context->telemetry->serve(
+                     *exchange, this->context->trusted(exchange->request())))
+        {
+        }
+        else if (path == usage_path && this->context->trusted(exchange->request()))
+        {
+            this->context->telemetry->take_stamp(
+                exchange->request().header(headers::stamp));
+            this->collector->take(std::move(exchange));
+        }
         else if (path.starts_with("/operator/"))
         {
             this->queue_operator(std::move(exchange));
@@ -163,6 +183,8 @@
     std::unique_ptr<entry_context> context;
     std::unique_ptr<config_controller> config;
     std::unique_ptr<member_controller> members;
+    std::unique_ptr<usage_collector> collector;
+    std::unique_ptr<usage_controller> usage;
     std::unique_ptr<http_server> server;
     std::mutex mutex;
     std::condition_variable wake;
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -28,6 +28,8 @@
     context->settings = settings;
     context->incarnation =
         static_cast<std::uint64_t>(context->time.wall_now().time_since_epoch().count());
+    context->telemetry = std::make_unique<process_telemetry>(settings, context->time,
+                                                             context->incarnation);
     http_client_options options;
     options.threads = settings.listen.threads;
     auto client = http_client::create(options);
@@ -42,7 +44,7 @@
         return tl::unexpected<error>(store.error());
     }
     context->store = std::move(*store);
-    auto allowance = static_admission::create(context->time, 1);
+    auto allowance = static_admission::create(context->time, 0);
     if (!allowance)
     {
         return tl::unexpected<error>(allowance.error());
@@ -83,8 +85,30 @@
     return fail(error_code::unauthorized, "authenticate", "", "the key is not valid");
 }
 
+bool entry_context::trusted(const http_request& request) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view token = request.header("Authorization");
+    const bool from_operator =
+        token.starts_with(scheme) &&
+        equal_secrets(token.substr(scheme.size()), this->settings.operator_token);
+    const bool from_fleet =
+        equal_secrets(request.header(headers::fleet), this->settings.fleet_secret);
+    return from_operator || from_fleet;
+}
+
+process_gauges entry_context::gauges() const
+{
+    process_gauges read;
+    read.open = this->open;
+    const auto config = this->board.config.read();
+    read.config_number = config ? config->current.number : 0;
+    return read;
+}
+
 void entry_context::note_load(const std::vector<http_header>& head)
 {
+    this->telemetry->take_stamp(head);
     for (const auto& [name, value] : head)
     {
         if (name != headers::load)
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -16,6 +16,7 @@
 #include <agateseam/static_admission.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
+#include <daemon/telemetry.hpp>
 #include <net/http_client.hpp>
 
 namespace agateseam
@@ -60,12 +61,19 @@
     /// \returns the workspace's name; `unauthorized` without a valid key.
     [[nodiscard]] result<std::string> authenticate(const http_request& request) const;
 
+    /// \brief Tells whether a request carries the fleet secret or the operator token.
+    [[nodiscard]] bool trusted(const http_request& request) const;
+
+    /// \brief Returns what the metrics page shows of this entry.
+    [[nodiscard]] process_gauges gauges() const;
+
     /// \brief Takes over the load that came with an agent's answer.
     void note_load(const std::vector<http_header>& head);
 
     daemon_settings settings;
     steady_clock_source time;
     entry_board board;
+    std::unique_ptr<process_telemetry> telemetry;
     std::unique_ptr<http_client> client;
     std::unique_ptr<object_store> store;
     std::unique_ptr<static_admission> allowance;
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -6,6 +6,7 @@
 
 #include <daemon/api_error.hpp>
 #include <daemon/config_controller.hpp>
+#include <daemon/operator_reports.hpp>
 
 namespace agateseam
 {
@@ -46,6 +47,9 @@
                                          "the operator token is missing or wrong"},
                                         run_state::not_run));
     }
+    else if (serve_report(context, exchange))
+    {
+    }
     else if (request.path == "/operator/config" && request.method == "GET")
     {
         answer(*exchange, read_configuration(*context.store));
--- a/src/daemon/prefill_attempt.cpp
+++ b/src/daemon/prefill_attempt.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <daemon/api_error.hpp>
+#include <daemon/attempt_meter.hpp>
 
 namespace agateseam
 {
@@ -23,6 +24,7 @@
         : context(&shared)
         , exchange(std::move(relay))
         , order(std::move(accepted))
+        , meter(*shared.telemetry, this->order)
     {
         ++this->context->open;
         ++this->context->waiting;
@@ -60,6 +62,8 @@
                         {"x-request-id", this->order.id.request + "." +
                                              std::to_string(this->order.id.attempt)}};
         call.body = body.dump();
+        this->meter.note(event_kind::prefill_begun, {}, this->order.prompt_tokens);
+        this->meter.engine_begun();
         const auto running = this->context->client->fetch_async(
             std::move(call), [self = this->shared_from_this()](result<http_reply> reply)
             { self->on_reply(std::move(reply)); });
@@ -76,18 +80,27 @@
                                               this->context->settings.backend.url,
                                               "the engine refused the prefill"}
                                       : reply.error();
+            this->meter.prefill_lost(this->order.prompt_tokens);
             respond(*this->exchange, to_api_error(fault, run_state::not_run));
             return;
         }
-        this->exchange->respond(
-            status_ok,
-            {{"Content-Type", "application/json"}, this->context->load_header()},
-            std::move(reply->body));
+        if (this->exchange->gone())
+        {
+            this->meter.prefill_lost(this->order.prompt_tokens);
+        }
+        this->meter.note(event_kind::prefill_ended);
+        this->exchange->respond(status_ok,
+                                {{"Content-Type", "application/json"},
+                                 this->context->load_header(),
+                                 this->context->telemetry->stamp_header(),
+                                 this->meter.engine_time_header()},
+                                std::move(reply->body));
     }
 
     agent_context* context;
     std::shared_ptr<http_exchange> exchange;
     attempt_order order;
+    attempt_meter meter;
 };
 
 } // namespace
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -36,8 +36,8 @@
     , events(given.vm, stamps)
     , outbox(given.vm, start)
 {
-    this->events.add({event_kind::process_started, "", 0, "", "",
-                      static_cast<std::int64_t>(start)});
+    this->events.add(
+        {event_kind::process_started, "", 0, "", "", static_cast<std::int64_t>(start)});
 }
 
 http_header process_telemetry::stamp_header()
@@ -146,9 +146,11 @@
 
 json to_json(const event& item)
 {
-    json line{{"sequence", item.sequence}, {"stamp", item.stamp.packed},
+    json line{{"sequence", item.sequence},
+              {"stamp", item.stamp.packed},
               {"ms", item.stamp.milliseconds()},
-              {"process", item.process},   {"event", to_string(item.kind)}};
+              {"process", item.process},
+              {"event", to_string(item.kind)}};
     const std::pair<const char*, const std::string&> texts[] = {
         {"request", item.request},
         {"workspace", item.workspace},
