--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -57,6 +57,14 @@
 class admission;
 class static_admission;
 class allowance;
+// Claims on calls that may not be repeated.
+enum class claim_verdict : std::uint8_t;
+struct call_outcome;
+struct claim_order;
+struct claim_answer;
+struct claim_ledger_options;
+class claim_shard;
+class claim_ledger;
 
 // Requests.
 enum class run_state : std::uint8_t;
@@ -64,4 +72,12 @@
 struct attempt_id;
 struct load_report;
 
+// The work of one backend server.
+class agent_scheduler;
+class fair_queue;
+struct scheduler_load;
+struct scheduler_options;
+struct slot_event;
+struct slot_request;
+
 } // namespace agateseam
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -44,6 +44,7 @@
         this->members.reset();
         this->server.reset();
         this->collector.reset();
+        this->context->claims->stop();
         this->context->client.reset();
     }
     entry(const entry&) = delete;
@@ -115,7 +116,7 @@
         }
         else if (path == "/v1/chat/completions" || path == "/v1/completions")
         {
-            start_model_request(*this->context, std::move(exchange));
+            this->take_model_request(std::move(exchange));
         }
         else
         {
@@ -130,6 +131,21 @@
                this->context->board.members.read();
     }
 
+    void take_model_request(std::shared_ptr<http_exchange> exchange)
+    {
+        if (exchange->request().method != "POST")
+        {
+            api_error refused;
+            refused.status = 405;
+            refused.code = "method_not_allowed";
+            refused.step = "receive";
+            refused.message = "use POST";
+            respond(*exchange, refused);
+            return;
+        }
+        start_model_request(*this->context, std::move(exchange));
+    }
+
     void list_models(http_exchange& exchange) const
     {
         const auto owner = this->context->authenticate(exchange.request());
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -61,7 +61,7 @@
     page.gauge("agateseam_slots", "Slots of the backend server.", gauges.slots);
     page.gauge("agateseam_slots_held", "Slots held.", gauges.slots_held);
     page.gauge("agateseam_waiting", "Requests that wait at the agent.", gauges.waiting);
-    page.gauge("agateseam_open_requests", "Requests under way.",
+    page.gauge("agateseam_requests_open", "Requests under way.",
                static_cast<double>(gauges.open));
     page.gauge("agateseam_config_number", "Number of the configuration in force.",
                static_cast<double>(gauges.config_number));
