--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -11,10 +11,12 @@
 #include <agateseam/event.hpp>
 #include <agateseam/event_log.hpp>
 #include <agateseam/fair_queue.hpp>
+#include <agateseam/forecast.hpp>
 #include <agateseam/forward_declarations.hpp>
 #include <agateseam/hybrid_clock.hpp>
 #include <agateseam/metrics.hpp>
 #include <agateseam/object_store.hpp>
+#include <agateseam/price.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
 #include <agateseam/static_admission.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -40,6 +40,12 @@
 struct workspace_service;
 class service_watch;
 
+// Money.
+struct calendar_month;
+struct hourly_amount;
+struct forecast_query;
+struct month_forecast;
+
 // Shared state.
 template <typename T>
 class published;
