--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -5,6 +5,23 @@
 namespace agateseam
 {
 
+namespace
+{
+
+/// Takes the caller's key out of the request's head.
+result<api_key_parts> read_key(const http_request& request)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view header = request.header("Authorization");
+    if (!header.starts_with(scheme))
+    {
+        return fail(error_code::unauthorized, "authenticate", "", "no key came along");
+    }
+    return split_api_key(header.substr(scheme.size()));
+}
+
+} // namespace
+
 std::unique_ptr<const configuration_view> configuration_view::create(configuration taken,
                                                                      std::string document)
 {
@@ -50,6 +67,15 @@
         return tl::unexpected<error>(claims.error());
     }
     context->claims = std::move(*claims);
+    context->configs =
+        config_store::create(*context->store, context->time, context->next_request_id());
+    auto relay = config_relay::create({settings.vm, "", settings.failure_domain}, {});
+    if (!relay)
+    {
+        return tl::unexpected<error>(relay.error());
+    }
+    context->relay = std::move(*relay);
+    context->peers = std::make_unique<config_peers>(context->time, *context->relay);
     auto allowance = static_admission::create(context->time, 0);
     if (!allowance)
     {
@@ -57,6 +83,8 @@
     }
     context->allowance = std::move(*allowance);
     context->placer = make_least_load_placement();
+    context->renewer =
+        std::make_unique<lease_renewer>(*context->client, settings.fleet_secret);
     return context;
 }
 
@@ -66,15 +94,15 @@
            std::to_string(++this->requests);
 }
 
+key_flag entry_context::follow_key(const http_request& request)
+{
+    const auto parts = read_key(request);
+    return this->keys.add(parts ? parts->id : std::string_view{}, this->board.config);
+}
+
 result<std::string> entry_context::authenticate(const http_request& request) const
 {
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string_view header = request.header("Authorization");
-    if (!header.starts_with(scheme))
-    {
-        return fail(error_code::unauthorized, "authenticate", "", "no key came along");
-    }
-    const auto parts = split_api_key(header.substr(scheme.size()));
+    const auto parts = read_key(request);
     if (!parts)
     {
         return tl::unexpected<error>(parts.error());
@@ -91,6 +119,11 @@
     return fail(error_code::unauthorized, "authenticate", "", "the key is not valid");
 }
 
+bool entry_context::may_admit() const noexcept
+{
+    return this->time.now().time_since_epoch().count() < this->admit_until;
+}
+
 bool entry_context::trusted(const http_request& request) const
 {
     constexpr std::string_view scheme = "Bearer ";
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -9,12 +9,15 @@
 
 #include <agateseam/api_key.hpp>
 #include <agateseam/claim_ledger.hpp>
-#include <agateseam/configuration.hpp>
+#include <agateseam/config_store.hpp>
 #include <agateseam/member.hpp>
 #include <agateseam/object_store.hpp>
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/static_admission.hpp>
+#include <daemon/config_peers.hpp>
+#include <daemon/key_watch.hpp>
+#include <daemon/lease_renewer.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
 #include <daemon/telemetry.hpp>
@@ -62,6 +65,12 @@
     /// \returns the workspace's name; `unauthorized` without a valid key.
     [[nodiscard]] result<std::string> authenticate(const http_request& request) const;
 
+    /// \brief Follows the key that came with an authenticated request.
+    [[nodiscard]] key_flag follow_key(const http_request& request);
+
+    /// \brief Tells whether requests may be admitted under the configuration in force.
+    [[nodiscard]] bool may_admit() const noexcept;
+
     /// \brief Tells whether a request carries the fleet secret or the operator token.
     [[nodiscard]] bool trusted(const http_request& request) const;
 
@@ -78,8 +87,14 @@
     std::unique_ptr<http_client> client;
     std::unique_ptr<object_store> store;
     std::unique_ptr<claim_ledger> claims;
+    std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
+    std::unique_ptr<config_relay> relay;
+    std::unique_ptr<config_peers> peers;
+    key_watch keys;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
+    std::unique_ptr<lease_renewer> renewer;
+    std::atomic<duration::rep> admit_until{0}; ///< Monotonic; 0 before the first check.
     std::atomic<bool> leaving{false};
     std::atomic<std::size_t> open{0}; ///< Requests under way.
 
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -48,6 +48,7 @@
             return;
         }
         this->workspace = std::move(*owner);
+        this->key = this->context->follow_key(this->exchange->request());
         auto read =
             read_model_request(this->exchange->request(), this->context->settings.limits);
         if (!read)
@@ -86,6 +87,10 @@
 
     [[nodiscard]] bool on_data(std::string_view data) override
     {
+        if (this->withdrawn())
+        {
+            return false;
+        }
         if (this->agent_status != status_ok)
         {
             this->refusal.append(data);
@@ -101,6 +106,7 @@
 
     void on_done(const result<void>& outcome) override
     {
+        this->context->renewer->remove(this->decode_address, {this->id, this->attempt});
         if (this->exchange->gone())
         {
             this->meter.cancelled(this->streaming);
@@ -110,6 +116,10 @@
         {
             this->finish();
         }
+        else if (this->withdrawn())
+        {
+            this->give_answer(this->withdrawal());
+        }
         else if (this->failure)
         {
             this->try_again(*this->failure);
@@ -180,8 +190,28 @@
         return true;
     }
 
+    /// Tells whether the key was withdrawn and the request has to end for it.
+    [[nodiscard]] bool withdrawn() const
+    {
+        const key_state state = *this->key;
+        return state == key_state::withdrawn_cut ||
+               (state == key_state::withdrawn && this->delivered == 0);
+    }
+
+    [[nodiscard]] api_error withdrawal() const
+    {
+        return to_api_error(
+            {error_code::unauthorized, "authenticate", "", "the key has been withdrawn"},
+            this->run_so_far());
+    }
+
     void next_attempt()
     {
+        if (this->withdrawn())
+        {
+            this->give_answer(this->withdrawal());
+            return;
+        }
         placement_request wanted;
         wanted.pool = this->pool;
         wanted.workspace = this->workspace;
@@ -213,6 +243,7 @@
     {
         ++this->attempt;
         this->decode_vm = choice.decode->vm;
+        this->decode_address = choice.decode->address;
         this->prefill_vm = choice.prefill->vm;
         attempt_order order;
         order.id = {this->id, this->attempt};
@@ -253,6 +284,7 @@
             this->settle();
             return;
         }
+        this->context->renewer->add(this->decode_address, {this->id, this->attempt});
         this->call_id =
             this->context->client->start(std::move(call), this->shared_from_this());
     }
@@ -483,6 +515,7 @@
     request_meter meter;
     model_request_parts parts;
     std::string workspace;
+    key_flag key;
     std::string pool;
     policy_config policy;
     double weight = 1;
@@ -495,6 +528,7 @@
 
     std::uint32_t attempt = 0;
     std::string decode_vm;
+    std::string decode_address;
     std::string prefill_vm;
     std::vector<std::string> excluded;
     bool maybe_run = false;
