--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -17,11 +17,13 @@
 #include <agateseam/event.hpp>
 #include <agateseam/event_log.hpp>
 #include <agateseam/fair_queue.hpp>
+#include <agateseam/forecast.hpp>
 #include <agateseam/forward_declarations.hpp>
 #include <agateseam/hybrid_clock.hpp>
 #include <agateseam/member_selection.hpp>
 #include <agateseam/metrics.hpp>
 #include <agateseam/object_store.hpp>
+#include <agateseam/price.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
 #include <agateseam/share_directory.hpp>
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -7,6 +7,7 @@
 
 #include <daemon/api_error.hpp>
 #include <daemon/model_request_parts.hpp>
+#include <daemon/request_meter.hpp>
 #include <daemon/server_sent_events.hpp>
 
 namespace agateseam
@@ -29,6 +30,7 @@
     model_request(entry_context& shared, std::shared_ptr<http_exchange> caller)
         : context(&shared)
         , exchange(std::move(caller))
+        , meter(*shared.telemetry)
     {
         ++this->context->open;
     }
@@ -60,6 +62,8 @@
             return;
         }
         this->id = this->context->next_request_id();
+        this->meter.admitted(this->id, this->workspace, this->pool, this->policy,
+                             this->parts.prompt_tokens);
         this->deadline =
             this->context->time.now() + this->context->settings.limits.first_token;
         this->body = this->exchange->take_body();
@@ -105,6 +109,7 @@
         this->context->renewer->remove(this->decode_address, {this->id, this->attempt});
         if (this->exchange->gone())
         {
+            this->meter.cancelled(this->streaming);
             this->settle();
         }
         else if (this->complete)
@@ -177,6 +182,7 @@
             refused.retry_after =
                 std::max(milliseconds(1'000),
                          std::chrono::duration_cast<milliseconds>(decision.retry_after));
+            this->meter.refused(error_code::exhausted, this->workspace);
             this->refuse(refused);
             return false;
         }
@@ -216,6 +222,7 @@
         const auto choice = this->choose(wanted);
         if (!choice)
         {
+            this->meter.failed(choice.error().code, this->streaming);
             this->give_answer(to_api_error(choice.error(), this->run_so_far()));
             return;
         }
@@ -258,8 +265,10 @@
         call.total_timeout = this->context->settings.limits.request;
         call.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
-            {std::string(headers::attempt), to_text(order)}};
+            {std::string(headers::attempt), to_text(order)},
+            this->context->telemetry->stamp_header()};
         call.body = this->body;
+        this->meter.sent(this->attempt, this->decode_vm, this->delivered);
         this->start_call(std::move(call));
     }
 
@@ -271,6 +280,7 @@
         const std::scoped_lock hold(this->mutex);
         if (this->given_up)
         {
+            this->meter.cancelled(this->streaming);
             this->settle();
             return;
         }
@@ -289,6 +299,10 @@
         {
             this->failure = parse_attempt_failure(event.data);
         }
+        else if (event.name == "stamp")
+        {
+            this->context->telemetry->take_stamp(event.data);
+        }
         else if (event.name == "usage")
         {
             this->usage = json::parse(event.data, nullptr, false);
@@ -308,6 +322,7 @@
         {
             const std::uint32_t count = number - this->delivered;
             this->delivered = number;
+            this->meter.tokens(count);
             this->context->allowance->deliver(this->workspace, count);
             this->reserved -= count;
         }
@@ -368,6 +383,7 @@
     void finish()
     {
         this->settle();
+        this->meter.ended(read_engine_usage(this->usage));
         if (this->parts.stream)
         {
             this->begin_stream();
@@ -422,6 +438,7 @@
     /// A model request may be repeated: what was delivered is never produced again.
     void try_again(const attempt_failure& failed)
     {
+        this->meter.attempt_failed(this->attempt, failed.fault);
         log_error("attempt failed", failed.fault,
                   {{"request", std::string_view(this->id)},
                    {"workspace", std::string_view(this->workspace)},
@@ -432,6 +449,7 @@
             this->context->time.now() >= this->deadline && this->delivered == 0;
         if (this->attempt >= this->context->settings.limits.attempts || late)
         {
+            this->meter.failed(failed.fault.code, this->streaming);
             this->give_answer(to_api_error(failed.fault, this->run_so_far()));
             return;
         }
@@ -494,6 +512,7 @@
 
     entry_context* context;
     std::shared_ptr<http_exchange> exchange;
+    request_meter meter;
     model_request_parts parts;
     std::string workspace;
     key_flag key;
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -6,6 +6,7 @@
 
 #include <agateseam/impl/config_index.hpp>
 #include <daemon/api_error.hpp>
+#include <daemon/operator_reports.hpp>
 
 namespace agateseam
 {
@@ -159,6 +160,9 @@
                 "the operator token is missing or wrong"},
                run_state::not_run);
     }
+    else if (serve_report(context, exchange))
+    {
+    }
     else if (request.path == "/operator/config" && reads)
     {
         get_config(context, *exchange);
--- a/src/daemon/service_request.cpp
+++ b/src/daemon/service_request.cpp
@@ -203,7 +203,8 @@
         call.total_timeout = this->context->settings.limits.first_token;
         call.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
-            {std::string(headers::attempt), to_text(to_agent)}};
+            {std::string(headers::attempt), to_text(to_agent)},
+            this->context->telemetry->stamp_header()};
         const std::string_view type = request.header("Content-Type");
         if (!type.empty())
         {
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -94,6 +94,8 @@
     backend.tokens_per_second = section.number("tokens_per_second", 1, 1e9, 20'000.0);
     backend.link_tokens_per_second =
         section.number("link_tokens_per_second", 1, 1e12, 400'000.0);
+    backend.kv_bytes_per_token = static_cast<std::uint64_t>(
+        section.integer("kv_bytes_per_token", 0, 1 << 30, 131'072));
     backend.checks_generation = section.boolean("checks_generation", true);
     if (!backend.url.starts_with("http://") && !backend.url.starts_with("https://"))
     {
@@ -115,6 +117,8 @@
         static_cast<std::uint32_t>(section.integer("members", 2, 10'000, 64));
     limits.heartbeats =
         static_cast<std::uint32_t>(section.integer("heartbeats", 1, 10'000, 40));
+    limits.usage_flush =
+        milliseconds(section.integer("usage_flush_ms", 50, longest_ms, 60'000));
     limits.attempts = static_cast<std::uint32_t>(section.integer("attempts", 1, 10, 3));
     limits.output_tokens =
         static_cast<std::uint32_t>(section.integer("output_tokens", 1, 1'000'000, 4'096));
--- /dev/null
+++ b/src/daemon/usage_collector.cpp
@@ -0,0 +1,136 @@
+#include <daemon/usage_collector.hpp>
+
+#include <agateseam/usage_ledger.hpp>
+#include <daemon/api_error.hpp>
+
+namespace agateseam
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr std::uint64_t fold_days = 3; // days past the open hours that are looked at
+
+} // namespace
+
+usage_hour_number current_hour(const clock_source& time) noexcept
+{
+    const auto since = time.wall_now().time_since_epoch();
+    return static_cast<usage_hour_number>(
+        std::chrono::duration_cast<std::chrono::hours>(since).count());
+}
+
+usage_collector::usage_collector(process_telemetry& shared, object_store& platform)
+    : telemetry(&shared)
+    , store(&platform)
+    , written_shards(usage_shards, false)
+    , worker([this] { this->run(); })
+{
+}
+
+usage_collector::~usage_collector()
+{
+    {
+        const std::scoped_lock hold(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    this->worker.join();
+}
+
+void usage_collector::take(std::shared_ptr<http_exchange> exchange)
+{
+    auto batches = parse_usage_batches(exchange->request().body);
+    if (!batches)
+    {
+        respond(*exchange, to_api_error(batches.error(), run_state::not_run));
+        return;
+    }
+    const std::scoped_lock hold(this->mutex);
+    this->waiting.push_back({std::move(exchange), std::move(*batches)});
+}
+
+void usage_collector::run()
+{
+    std::unique_lock hold(this->mutex);
+    while (!this->stopping)
+    {
+        this->wake.wait_for(hold, this->telemetry->settings.limits.usage_flush / 2);
+        std::vector<waiting_call> calls = std::move(this->waiting);
+        this->waiting.clear();
+        hold.unlock();
+        this->write(std::move(calls));
+        this->fold();
+        hold.lock();
+    }
+}
+
+void usage_collector::write(std::vector<waiting_call> calls)
+{
+    std::vector<usage_batch> batches;
+    std::vector<std::size_t> owners;
+    for (std::size_t call = 0; call < calls.size(); ++call)
+    {
+        for (usage_batch& batch : calls[call].batches)
+        {
+            this->written_shards[batch.shard % usage_shards] = true;
+            batches.push_back(std::move(batch));
+            owners.push_back(call);
+        }
+    }
+    if (calls.empty())
+    {
+        return;
+    }
+    const usage_outcome outcome =
+        usage_ledger(*this->store).apply(batches, current_hour(*this->telemetry->time));
+    this->telemetry->store_reachable = !outcome.fault;
+    std::vector<std::vector<usage_receipt>> receipts(calls.size());
+    for (const std::size_t place : outcome.positions)
+    {
+        receipts[owners[place]].push_back(
+            {batches[place].shard, batches[place].sequence});
+    }
+    for (const std::size_t place : outcome.refused)
+    {
+        // Too late to count; the sender must not keep it for ever.
+        receipts[owners[place]].push_back(
+            {batches[place].shard, batches[place].sequence});
+        log_line(log_level::error, "usage refused for its age",
+                 {{"process", std::string_view(batches[place].process)}});
+    }
+    for (std::size_t call = 0; call < calls.size(); ++call)
+    {
+        calls[call].exchange->respond(status_ok, {this->telemetry->stamp_header()},
+                                      to_text(receipts[call]));
+    }
+    this->telemetry->events.add({event_kind::usage_flushed, "", 0, "", "",
+                                 static_cast<std::int64_t>(batches.size())});
+}
+
+/// Once an hour, folds the closed hours of the shards that this process writes.
+void usage_collector::fold()
+{
+    const usage_hour_number now = current_hour(*this->telemetry->time);
+    if (now == this->folded_hour)
+    {
+        return;
+    }
+    this->folded_hour = now;
+    const std::uint64_t newest = (now - usage_ledger::open_hours) / hours_per_day;
+    for (std::uint32_t shard = 0; shard < usage_shards; ++shard)
+    {
+        for (std::uint64_t day = newest - fold_days;
+             this->written_shards[shard] && day <= newest; ++day)
+        {
+            const auto folded = usage_ledger(*this->store).fold(shard, day, now);
+            if (!folded)
+            {
+                log_error("fold failed", folded.error());
+            }
+        }
+    }
+}
+
+} // namespace agateseam
