--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -26,6 +26,7 @@
 #include <agateseam/price.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
+#include <agateseam/retry_budget.hpp>
 #include <agateseam/share_directory.hpp>
 #include <agateseam/share_holder.hpp>
 #include <agateseam/share_home.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -104,6 +104,7 @@
 enum class backend_kind : std::uint8_t;
 struct attempt_id;
 struct load_report;
+class retry_budget;
 
 // The work of one backend server.
 class agent_scheduler;
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -1,5 +1,6 @@
 #include <daemon/daemon.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <thread>
 
@@ -19,6 +20,7 @@
 constexpr std::chrono::milliseconds heartbeat_interval{500};
 constexpr std::chrono::milliseconds reconcile_interval{50};
 constexpr std::chrono::seconds outcome_retention{120};
+constexpr std::string_view attempts_path = "/agent/attempts/";
 
 /// Serves the orders of entries and of other agents.
 class agent final : public daemon_process, public http_handler
@@ -74,7 +76,15 @@
 
     void drain() override { this->context->drain(); }
 
-    [[nodiscard]] std::size_t open_work() const override { return this->context->open; }
+    /// Leases go on being renewed until the work has ended.
+    void stop_listening() override {}
+
+    /// An attempt counts until its answer's last byte has been handed to the system.
+    [[nodiscard]] std::size_t open_work() const override
+    {
+        const std::size_t attempts = this->context->open;
+        return std::max(attempts, this->server->open_exchanges());
+    }
 
     void handle(std::shared_ptr<http_exchange> exchange) override
     {
@@ -102,10 +112,14 @@
             exchange->respond(200, {{"Content-Type", "application/json"}},
                               to_text(this->context->report()));
         }
-        else if (path == "/agent/renew")
+        else if (path == "/agent/leases")
         {
             this->renew(*exchange);
         }
+        else if (path.starts_with(attempts_path))
+        {
+            this->tell_outcome(*exchange);
+        }
         else if (path == "/agent/drain")
         {
             this->drain();
@@ -124,22 +138,6 @@
                              this->context->settings.fleet_secret);
     }
 
-    /// An entry names the attempts that it still relays.
-    void renew(http_exchange& exchange)
-    {
-        const auto ids = parse_attempt_ids(exchange.request().body);
-        if (!ids)
-        {
-            respond(exchange, to_api_error(ids.error(), run_state::not_run));
-            return;
-        }
-        for (const attempt_id& id : *ids)
-        {
-            this->context->slots->renew(id);
-        }
-        exchange.respond(200, {this->context->load_header()}, "");
-    }
-
     void take_order(const std::shared_ptr<http_exchange>& exchange)
     {
         if (!this->context->ready)
@@ -158,11 +156,6 @@
             respond(*exchange, to_api_error(order.error(), run_state::not_run));
             return;
         }
-        if (request.path == "/agent/prefill")
-        {
-            start_prefill_attempt(*this->context, exchange, std::move(*order));
-            return;
-        }
         if (!this->context->attempts.begin(order->id, this->context->time.now()))
         {
             respond(*exchange, to_api_error({error_code::conflict, "receive order",
@@ -170,6 +163,10 @@
                                              "this attempt was here before"},
                                             run_state::unknown));
         }
+        else if (request.path == "/agent/prefill")
+        {
+            start_prefill_attempt(*this->context, exchange, std::move(*order));
+        }
         else if (request.path == "/agent/decode")
         {
             start_decode_attempt(*this->context, exchange, std::move(*order));
@@ -186,6 +183,55 @@
         }
     }
 
+    /// Renews the leases of an entry's attempts, and ends those it gave up.
+    void renew(http_exchange& exchange)
+    {
+        const auto order = parse_lease_order(exchange.request().body);
+        if (!order)
+        {
+            respond(exchange, to_api_error(order.error(), run_state::not_run));
+            return;
+        }
+        std::vector<attempt_id> unknown;
+        for (const attempt_id& id : order->renew)
+        {
+            this->context->slots->renew(id);
+            if (!this->context->attempts.renew(id, this->context->time.now()))
+            {
+                unknown.push_back(id);
+            }
+        }
+        for (const attempt_id& id : order->end)
+        {
+            this->context->slots->end(id);
+        }
+        exchange.respond(200, {{"Content-Type", "application/json"}},
+                         lease_reply_text(unknown));
+    }
+
+    /// Answers what became of REQUEST/ATTEMPT.
+    void tell_outcome(http_exchange& exchange)
+    {
+        std::string name = exchange.request().path.substr(attempts_path.size());
+        std::replace(name.begin(), name.end(), '/', '.');
+        const auto id = parse_attempt_id(name);
+        if (!id)
+        {
+            respond(exchange, to_api_error(id.error(), run_state::not_run));
+            return;
+        }
+        const auto record = this->context->attempts.find(*id);
+        if (!record)
+        {
+            respond(exchange, to_api_error(record.error(), run_state::unknown));
+            return;
+        }
+        const nlohmann::json body{{"attempt", to_text(*id)},
+                                  {"ended", record->ended},
+                                  {"run", to_string(record->run)}};
+        exchange.respond(200, {{"Content-Type", "application/json"}}, body.dump());
+    }
+
     void beat()
     {
         std::unique_lock hold(this->mutex);
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -19,6 +19,7 @@
     }
     return split_api_key(header.substr(scheme.size()));
 }
+constexpr std::uint32_t retries_saved = 100;
 
 } // namespace
 
@@ -83,8 +84,12 @@
     }
     context->allowance = std::move(*allowance);
     context->placer = make_least_load_placement();
-    context->renewer =
-        std::make_unique<lease_renewer>(*context->client, settings.fleet_secret);
+    auto retries = retry_budget::create(settings.limits.retry_ratio, retries_saved);
+    if (!retries)
+    {
+        return tl::unexpected<error>(retries.error());
+    }
+    context->retries = std::move(*retries);
     return context;
 }
 
--- a/src/daemon/prefill_attempt.cpp
+++ b/src/daemon/prefill_attempt.cpp
@@ -131,8 +131,7 @@
         call.step = "prefill";
         call.total_timeout = this->order.deadline;
         call.headers = {{"Content-Type", "application/json"},
-                        {"x-request-id", this->order.id.request + "." +
-                                             std::to_string(this->order.id.attempt)}};
+                        {"x-request-id", to_text(this->order.id)}};
         call.body = this->body.dump();
         this->body = nullptr;
         this->meter.note(event_kind::prefill_begun, {}, this->order.prompt_tokens);
@@ -149,6 +148,10 @@
 
     void on_reply(result<http_reply> reply)
     {
+        if (!reply)
+        {
+            this->context->note_backend(reply.error());
+        }
         if (!reply || reply->status != status_ok)
         {
             this->meter.prefill_lost(this->order.prompt_tokens);
@@ -164,6 +167,8 @@
         }
         this->meter.note(event_kind::prefill_ended);
         this->context->slots->release(this->order.id, this->used);
+        this->context->attempts.end(this->order.id, run_state::ran,
+                                    this->context->time.now());
         this->exchange->respond(status_ok,
                                 {{"Content-Type", "application/json"},
                                  this->context->load_header(),
@@ -190,6 +195,8 @@
 
     void refuse(const error& fault)
     {
+        this->context->attempts.end(this->order.id, run_state::not_run,
+                                    this->context->time.now());
         api_error refused = to_api_error(fault, run_state::not_run);
         refused.retry_after = std::chrono::ceil<std::chrono::milliseconds>(
             this->context->slots->retry_after());
--- a/src/daemon/service_attempt.cpp
+++ b/src/daemon/service_attempt.cpp
@@ -71,6 +71,7 @@
             const run_state run = begun ? run_state::unknown : run_state::not_run;
             this->context->attempts.end(this->order.id, run, this->context->time.now());
             this->meter.note(event_kind::outcome_unknown, {}, 0, to_string(run));
+            this->context->note_backend(reply.error());
             respond(*this->exchange, to_api_error(reply.error(), run));
             return;
         }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -97,6 +97,7 @@
     backend.kv_bytes_per_token = static_cast<std::uint64_t>(
         section.integer("kv_bytes_per_token", 0, 1 << 30, 131'072));
     backend.checks_generation = section.boolean("checks_generation", true);
+    backend.echoes_request_id = section.boolean("echoes_request_id", true);
     if (!backend.url.starts_with("http://") && !backend.url.starts_with("https://"))
     {
         section.fault("url", "must begin with http:// or https://");
@@ -119,6 +120,9 @@
         static_cast<std::uint32_t>(section.integer("heartbeats", 1, 10'000, 40));
     limits.usage_flush =
         milliseconds(section.integer("usage_flush_ms", 50, longest_ms, 60'000));
+    limits.lease = milliseconds(section.integer("lease_ms", 1'000, longest_ms, 3'000));
+    limits.linger = milliseconds(section.integer("linger_ms", 0, longest_ms, 3'000));
+    limits.retry_ratio = section.number("retry_ratio", 0, 1, 0.2);
     limits.attempts = static_cast<std::uint32_t>(section.integer("attempts", 1, 10, 3));
     limits.output_tokens =
         static_cast<std::uint32_t>(section.integer("output_tokens", 1, 1'000'000, 4'096));
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -69,9 +69,14 @@
     const http_request& request = exchange.request();
     if (request.path == "/metrics")
     {
-        exchange.respond(
-            status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-            to_prometheus(this->metrics, this->read_gauges(), this->time->now()));
+        std::string page =
+            to_prometheus(this->metrics, this->read_gauges(), this->time->now());
+        if (this->role_metrics)
+        {
+            page += this->role_metrics();
+        }
+        exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                         std::move(page));
         return true;
     }
     const bool own = request.path == "/events" || request.path == "/status";
