--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -40,6 +40,12 @@
 struct workspace_service;
 class service_watch;
 
+// Money.
+struct calendar_month;
+struct hourly_amount;
+struct forecast_query;
+struct month_forecast;
+
 // Shared state.
 template <typename T>
 class published;
@@ -77,6 +83,8 @@
 struct share_options;
 class share_home;
 class share_holder;
+class share_node;
+class share_transport;
 
 // The numbered configuration.
 struct configuration;
--- a/src/daemon/agent_context.hpp
+++ b/src/daemon/agent_context.hpp
@@ -15,6 +15,7 @@
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
 #include <daemon/slot_service.hpp>
+#include <daemon/telemetry.hpp>
 #include <net/http_client.hpp>
 
 namespace agateseam
@@ -70,6 +71,7 @@
     std::atomic<std::uint64_t> events_dropped{0}; ///< Of other requests' answers.
     std::atomic<std::size_t> open{0};             ///< Attempts under way.
     work_estimator estimator;
+    std::unique_ptr<process_telemetry> telemetry;
     std::unique_ptr<slot_service> slots; ///< Of a model engine; the attempts' leases.
     std::unique_ptr<http_client> client;
 
--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <daemon/api_error.hpp>
+#include <daemon/attempt_meter.hpp>
 #include <daemon/server_sent_events.hpp>
 
 namespace agateseam
@@ -39,13 +40,17 @@
         : context(&shared)
         , exchange(std::move(relay))
         , order(std::move(accepted))
+        , meter(*shared.telemetry, this->order)
         , delivered(order.resume_from)
     {
         ++this->context->open;
+        this->meter.note(event_kind::queued);
     }
 
     ~decode_attempt() override
     {
+        this->meter.end();
+        this->meter.note(event_kind::released);
         this->context->slots->release(this->order.id, this->output_cost());
         --this->context->open;
     }
@@ -74,7 +79,8 @@
         this->exchange->begin_stream(
             status_ok, {{"Content-Type", "text/event-stream"},
                         {std::string(headers::answer), to_text(this->order.id)},
-                        this->context->load_header()});
+                        this->context->load_header(),
+                        this->context->telemetry->stamp_header()});
         const std::weak_ptr<decode_attempt> weak = this->weak_from_this();
         this->exchange->on_gone(
             [weak]
@@ -92,6 +98,7 @@
         switch (event.kind)
         {
         case slot_event_kind::granted:
+            this->meter.note(event_kind::slot_taken);
             this->start_prefill();
             break;
         case slot_event_kind::started:
@@ -235,7 +242,8 @@
         prefill.total_timeout = this->order.deadline;
         prefill.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
-            {std::string(headers::attempt), to_text(this->order)}};
+            {std::string(headers::attempt), to_text(this->order)},
+            this->context->telemetry->stamp_header()};
         prefill.body = this->body.dump();
         this->next_call(
             [&]
@@ -266,6 +274,8 @@
         this->context->estimator.note_lead(this->order.prompt_tokens,
                                            this->context->time.now() - this->lead_begin);
         this->prefill_usage = answer.value("usage", json::object());
+        this->context->telemetry->take_stamp(reply->headers);
+        this->meter.prefilled(*reply, this->prefill_usage);
         this->body["kv_transfer_params"] = answer["kv_transfer_params"];
         if (!this->context->slots->start(this->order.id, this->shared_from_this()))
         {
@@ -283,6 +293,7 @@
         {
             this->body["resume_from"] = this->order.resume_from;
         }
+        this->meter.engine_begun();
         http_call decode;
         decode.method = "POST";
         decode.url = this->context->settings.backend.url + this->order.path;
@@ -357,6 +368,7 @@
         if (token)
         {
             this->count_token();
+            this->meter.token(true);
         }
         chunk["id"] = this->order.id.request;
         const std::string_view name = last ? "finish" : "";
@@ -409,6 +421,7 @@
             this->given_up = true;
             running = this->call;
         }
+        this->meter.cancelled();
         this->context->attempts.end(this->order.id, run_state::ran,
                                     this->context->time.now());
         this->context->abort_at_engine(this->engine_id());
@@ -440,6 +453,9 @@
     {
         this->context->slots->release(this->order.id, this->output_cost());
         this->context->attempts.end(this->order.id, run, this->context->time.now());
+        this->meter.end();
+        const std::string stamp = this->context->telemetry->stamp_header().second;
+        this->exchange->write(to_text({"stamp", "", stamp}));
         this->exchange->finish();
     }
 
@@ -449,6 +465,7 @@
     json body;
     json prefill_usage;
     event_splitter events;
+    attempt_meter meter;
     std::atomic<std::uint32_t> delivered; ///< Output tokens, with those resumed from.
     time_point deadline;                  ///< For the first token.
     time_point lead_begin;
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -12,6 +12,8 @@
 #include <daemon/entry_context.hpp>
 #include <daemon/member_controller.hpp>
 #include <daemon/renewal_controller.hpp>
+#include <daemon/usage_collector.hpp>
+#include <daemon/usage_controller.hpp>
 
 namespace agateseam
 {
@@ -41,9 +43,12 @@
         {
             this->operator_worker.join();
         }
+        this->usage.reset();
         this->renewals.reset();
         this->config.reset();
         this->members.reset();
+        this->server.reset();
+        this->collector.reset();
         this->context->claims->stop();
         this->context->client.reset();
     }
@@ -54,6 +59,12 @@
     {
         this->config = std::make_unique<config_controller>(*this->context);
         this->members = std::make_unique<member_controller>(*this->context);
+        this->collector = std::make_unique<usage_collector>(*this->context->telemetry,
+                                                            *this->context->store);
+        this->context->telemetry->gauges = [shared = this->context.get()]
+        { return shared->gauges(); };
+        this->context->telemetry->role_metrics = [shared = this->context.get()]
+        { return to_text(shared->counters); };
         this->renewals = std::make_unique<renewal_controller>(*this->context);
         this->operator_worker = std::thread([this] { this->serve_operators(); });
         auto created = http_server::create(this->context->settings.listen, *this);
@@ -62,6 +73,8 @@
             return tl::unexpected<error>(created.error());
         }
         this->server = std::move(*created);
+        this->usage = std::make_unique<usage_controller>(*this->context->telemetry,
+                                                         *this->context->client);
         return {};
     }
 
@@ -96,10 +109,15 @@
         {
             exchange->respond(this->ready() ? 200 : 503, {}, "");
         }
-        else if (path == "/metrics")
+        else if (this->context->telemetry->serve(
+                     *exchange, this->context->trusted(exchange->request())))
+        {
+        }
+        else if (path == usage_path && this->context->trusted(exchange->request()))
         {
-            exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                              this->metrics());
+            this->context->telemetry->take_stamp(
+                exchange->request().header(headers::stamp));
+            this->collector->take(std::move(exchange));
         }
         else if (path.starts_with("/operator/"))
         {
@@ -164,13 +182,6 @@
         start_model_request(*this->context, std::move(exchange));
     }
 
-    [[nodiscard]] std::string metrics() const
-    {
-        return "# TYPE agateseam_requests_open gauge\nagateseam_requests_open " +
-               std::to_string(this->context->open) + "\n" +
-               to_text(this->context->counters);
-    }
-
     void list_models(http_exchange& exchange) const
     {
         const auto owner = this->context->authenticate(exchange.request());
@@ -224,6 +235,8 @@
     std::unique_ptr<entry_context> context;
     std::unique_ptr<config_controller> config;
     std::unique_ptr<member_controller> members;
+    std::unique_ptr<usage_collector> collector;
+    std::unique_ptr<usage_controller> usage;
     std::unique_ptr<renewal_controller> renewals;
     std::unique_ptr<http_server> server;
     std::mutex mutex;
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -17,10 +17,12 @@
 #include <agateseam/retry_budget.hpp>
 #include <agateseam/static_admission.hpp>
 #include <daemon/config_peers.hpp>
+#include <daemon/key_watch.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/open_attempts.hpp>
 #include <daemon/path_counters.hpp>
 #include <daemon/settings.hpp>
+#include <daemon/telemetry.hpp>
 #include <net/http_client.hpp>
 
 namespace agateseam
@@ -65,21 +67,32 @@
     /// \returns the workspace's name; `unauthorized` without a valid key.
     [[nodiscard]] result<std::string> authenticate(const http_request& request) const;
 
+    /// \brief Follows the key that came with an authenticated request.
+    [[nodiscard]] key_flag follow_key(const http_request& request);
+
     /// \brief Tells whether requests may be admitted under the configuration in force.
     [[nodiscard]] bool may_admit() const noexcept;
 
+    /// \brief Tells whether a request carries the fleet secret or the operator token.
+    [[nodiscard]] bool trusted(const http_request& request) const;
+
+    /// \brief Returns what the metrics page shows of this entry.
+    [[nodiscard]] process_gauges gauges() const;
+
     /// \brief Takes over the load that came with an agent's answer.
     void note_load(const std::vector<http_header>& head);
 
     daemon_settings settings;
     steady_clock_source time;
     entry_board board;
+    std::unique_ptr<process_telemetry> telemetry;
     std::unique_ptr<http_client> client;
     std::unique_ptr<object_store> store;
     std::unique_ptr<claim_ledger> claims;
     std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
     std::unique_ptr<config_relay> relay;
     std::unique_ptr<config_peers> peers;
+    key_watch keys;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
     std::unique_ptr<retry_budget> retries;
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -9,6 +9,7 @@
 #include <daemon/api_error.hpp>
 #include <daemon/model_request_parts.hpp>
 #include <daemon/renewal_controller.hpp>
+#include <daemon/request_meter.hpp>
 #include <daemon/server_sent_events.hpp>
 
 namespace agateseam
@@ -49,6 +50,7 @@
     model_request(entry_context& shared, std::shared_ptr<http_exchange> caller)
         : context(&shared)
         , exchange(std::move(caller))
+        , meter(*shared.telemetry)
     {
         ++this->context->open;
     }
@@ -66,6 +68,7 @@
             return;
         }
         this->workspace = std::move(*owner);
+        this->key = this->context->follow_key(this->exchange->request());
         auto read =
             read_model_request(this->exchange->request(), this->context->settings.limits);
         if (!read)
@@ -79,6 +82,8 @@
             return;
         }
         this->id = this->context->next_request_id();
+        this->meter.admitted(this->id, this->workspace, this->pool, this->policy,
+                             this->parts.prompt_tokens);
         this->context->retries->earn();
         this->deadline =
             this->context->time.now() + this->context->settings.limits.first_token;
@@ -109,6 +114,10 @@
 
     [[nodiscard]] bool on_data(std::string_view data) override
     {
+        if (this->withdrawn())
+        {
+            return false;
+        }
         if (this->agent_status != status_ok)
         {
             return true;
@@ -134,6 +143,7 @@
         this->context->attempts.remove(this->current());
         if (this->exchange->gone())
         {
+            this->meter.cancelled(this->streaming);
             this->end_at_agent();
             this->settle();
         }
@@ -141,6 +151,10 @@
         {
             this->finish();
         }
+        else if (this->withdrawn())
+        {
+            this->give_answer(this->withdrawal());
+        }
         else if (this->failure)
         {
             this->try_again(*this->failure);
@@ -258,6 +272,7 @@
             refused.retry_after =
                 std::max(milliseconds(1'000),
                          std::chrono::duration_cast<milliseconds>(decision.retry_after));
+            this->meter.refused(error_code::exhausted, this->workspace);
             this->refuse(refused);
             return false;
         }
@@ -265,8 +280,28 @@
         return true;
     }
 
+    /// Tells whether the key was withdrawn and the request has to end for it.
+    [[nodiscard]] bool withdrawn() const
+    {
+        const key_state state = *this->key;
+        return state == key_state::withdrawn_cut ||
+               (state == key_state::withdrawn && this->delivered == 0);
+    }
+
+    [[nodiscard]] api_error withdrawal() const
+    {
+        return to_api_error(
+            {error_code::unauthorized, "authenticate", "", "the key has been withdrawn"},
+            this->run_so_far());
+    }
+
     void next_attempt()
     {
+        if (this->withdrawn())
+        {
+            this->give_answer(this->withdrawal());
+            return;
+        }
         placement_request wanted;
         wanted.pool = this->pool;
         wanted.workspace = this->workspace;
@@ -277,6 +312,7 @@
         const auto choice = this->choose(wanted);
         if (!choice)
         {
+            this->meter.failed(choice.error().code, this->streaming);
             this->give_answer(to_api_error(choice.error(), this->run_so_far()));
             return;
         }
@@ -319,8 +355,10 @@
         call.total_timeout = this->context->settings.limits.request;
         call.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
-            {std::string(headers::attempt), to_text(order)}};
+            {std::string(headers::attempt), to_text(order)},
+            this->context->telemetry->stamp_header()};
         call.body = this->body;
+        this->meter.sent(this->attempt, this->decode_vm, this->delivered);
         this->start_call(std::move(call));
     }
 
@@ -332,6 +370,7 @@
         const std::scoped_lock hold(this->mutex);
         if (this->given_up)
         {
+            this->meter.cancelled(this->streaming);
             this->settle();
             return;
         }
@@ -353,6 +392,10 @@
         {
             this->failure = parse_attempt_failure(event.data);
         }
+        else if (event.name == "stamp")
+        {
+            this->context->telemetry->take_stamp(event.data);
+        }
         else if (event.name == "usage")
         {
             this->usage = json::parse(event.data, nullptr, false);
@@ -404,6 +447,7 @@
     void deliver_token()
     {
         ++this->delivered;
+        this->meter.tokens(1);
         this->context->allowance->deliver(this->workspace, 1);
         this->reserved -= 1;
     }
@@ -481,6 +525,7 @@
     {
         this->complete_usage();
         this->settle();
+        this->meter.ended(read_engine_usage(this->usage));
         if (this->parts.stream)
         {
             this->begin_stream();
@@ -535,6 +580,7 @@
     /// A model request may be repeated: what was delivered is never produced again.
     void try_again(const attempt_failure& failed, verdict agent = verdict::suspect)
     {
+        this->meter.attempt_failed(this->attempt, failed.fault);
         log_error("attempt failed", failed.fault,
                   {{"request", std::string_view(this->id)},
                    {"workspace", std::string_view(this->workspace)},
@@ -554,6 +600,7 @@
         if (this->attempt >= this->context->settings.limits.attempts || late ||
             !this->take_retry(failed))
         {
+            this->meter.failed(failed.fault.code, this->streaming);
             this->give_answer(to_api_error(failed.fault, this->run_so_far()));
             return;
         }
@@ -631,8 +678,10 @@
 
     entry_context* context;
     std::shared_ptr<http_exchange> exchange;
+    request_meter meter;
     model_request_parts parts;
     std::string workspace;
+    key_flag key;
     std::string pool;
     policy_config policy;
     double weight = 1;
--- a/src/daemon/path_counters.cpp
+++ b/src/daemon/path_counters.cpp
@@ -23,7 +23,7 @@
     append(text, "agateseam_retries_total", counters.retries);
     append(text, "agateseam_retries_refused_total", counters.retries_refused);
     append(text, "agateseam_resumed_total", counters.resumed);
-    append(text, "agateseam_events_dropped_total", counters.events_dropped);
+    append(text, "agateseam_answer_events_dropped_total", counters.events_dropped);
     append(text, "agateseam_event_gaps_total", counters.event_gaps);
     append(text, "agateseam_streams_silent_total", counters.streams_silent);
     append(text, "agateseam_attempts_lost_total", counters.attempts_lost);
--- a/src/daemon/prefill_attempt.cpp
+++ b/src/daemon/prefill_attempt.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <daemon/api_error.hpp>
+#include <daemon/attempt_meter.hpp>
 
 namespace agateseam
 {
@@ -31,6 +32,7 @@
         : context(&shared)
         , exchange(std::move(relay))
         , order(std::move(accepted))
+        , meter(*shared.telemetry, this->order)
     {
         ++this->context->open;
     }
@@ -132,6 +134,8 @@
                         {"x-request-id", to_text(this->order.id)}};
         call.body = this->body.dump();
         this->body = nullptr;
+        this->meter.note(event_kind::prefill_begun, {}, this->order.prompt_tokens);
+        this->meter.engine_begun();
         const std::scoped_lock hold(this->mutex);
         if (!this->given_up)
         {
@@ -150,19 +154,27 @@
         }
         if (!reply || reply->status != status_ok)
         {
+            this->meter.prefill_lost(this->order.prompt_tokens);
             this->refuse(reply ? error{error_code::unavailable, "prefill",
                                        this->context->settings.backend.url,
                                        "the engine refused the prefill"}
                                : reply.error());
             return;
         }
+        if (this->exchange->gone())
+        {
+            this->meter.prefill_lost(this->order.prompt_tokens);
+        }
+        this->meter.note(event_kind::prefill_ended);
         this->context->slots->release(this->order.id, this->used);
         this->context->attempts.end(this->order.id, run_state::ran,
                                     this->context->time.now());
-        this->exchange->respond(
-            status_ok,
-            {{"Content-Type", "application/json"}, this->context->load_header()},
-            std::move(reply->body));
+        this->exchange->respond(status_ok,
+                                {{"Content-Type", "application/json"},
+                                 this->context->load_header(),
+                                 this->context->telemetry->stamp_header(),
+                                 this->meter.engine_time_header()},
+                                std::move(reply->body));
     }
 
     /// The decode agent has gone: what waits or runs for it ends.
@@ -194,6 +206,7 @@
     agent_context* context;
     std::shared_ptr<http_exchange> exchange;
     attempt_order order;
+    attempt_meter meter;
     json body;
     double used = 0; ///< Tokens that the engine was asked for.
     std::mutex mutex;
--- a/src/daemon/service_request.cpp
+++ b/src/daemon/service_request.cpp
@@ -47,6 +47,7 @@
                 return;
             }
             this->workspace = std::move(*owner);
+            this->key_state_now = this->context->follow_key(this->exchange->request());
         }
         this->id = this->context->next_request_id();
         this->key = this->exchange->request().header("Idempotency-Key");
@@ -149,8 +150,20 @@
         }
     }
 
+    [[nodiscard]] bool withdrawn() const
+    {
+        return this->key_state_now && *this->key_state_now != key_state::valid;
+    }
+
     void next_attempt()
     {
+        if (this->withdrawn())
+        {
+            this->fail_with({error_code::unauthorized, "authenticate", "",
+                             "the key has been withdrawn"},
+                            this->maybe_run ? run_state::unknown : run_state::not_run);
+            return;
+        }
         placement_request wanted;
         wanted.pool = this->route.pool;
         wanted.workspace = this->workspace;
@@ -190,7 +203,8 @@
         call.total_timeout = this->context->settings.limits.first_token;
         call.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
-            {std::string(headers::attempt), to_text(to_agent)}};
+            {std::string(headers::attempt), to_text(to_agent)},
+            this->context->telemetry->stamp_header()};
         const std::string_view type = request.header("Content-Type");
         if (!type.empty())
         {
@@ -317,6 +331,7 @@
     route_config route;
     milliseconds retention{0};
     std::string workspace;
+    key_flag key_state_now; ///< Null on open routes.
     std::string id;
     std::string key;
     std::string body;
