Entries share allowances over JSON-RPC; a first home begins with full buckets

Cause: the entry still used the static split. Change: share_controller drives a share_node; entries call each other by libjsonrpccpp on POST /rpc, guarded by the fleet secret, and write homes' records to the store. Where the record shows that a shard never had a home, a workspace that the home has not known before begins full; everywhere else empty.

--- a/include/agateseam/admission.hpp
+++ b/include/agateseam/admission.hpp
@@ -12,6 +12,7 @@
 struct admission_decision
 {
     bool admitted = false;
+    bool known = true;       ///< When refused: whether the allowance's level was known.
     duration retry_after{0}; ///< When refused: how long until it could be admitted.
     double limit = 0;        ///< The workspace's burst, in tokens.
     double remaining = 0;    ///< Tokens that this process could still admit at once.
--- a/include/agateseam/allowance.hpp
+++ b/include/agateseam/allowance.hpp
@@ -22,8 +22,10 @@
 struct allowance_terms
 {
     std::string workspace;
-    double rate = 0;  ///< Tokens per second.
-    double burst = 0; ///< Tokens.
+    double rate = 0;   ///< Tokens per second.
+    double burst = 0;  ///< Tokens.
+    bool full = false; ///< Whether a new bucket begins full; only where nothing can have
+                       ///< been spent before.
 };
 
 /// \brief One bucket for each workspace.
@@ -37,11 +39,11 @@
 /// are reserved early and delivered late in a bunch, because reserved tokens stay inside
 /// the burst until they are counted: the level refills only up to burst - outstanding.
 ///
-/// \remarks A bucket begins empty. When the rate changes, rate * (t - s) becomes the sum
-/// over the rates in force. When the burst changes, the greatest counts that was in force
-/// since the oldest reservation of which something was delivered in the window: what was
-/// reserved under a greater burst may still be delivered. Bursts are capped at
-/// `burst_limit`.
+/// \remarks A bucket begins empty unless its terms say otherwise. When the rate changes,
+/// rate * (t - s) becomes the sum over the rates in force. When the burst changes, the
+/// greatest counts that was in force since the oldest reservation of which something was
+/// delivered in the window: what was reserved under a greater burst may still be
+/// delivered. Bursts are capped at `burst_limit`.
 class allowance final : public admission
 {
   public:
--- a/include/agateseam/share_holder.hpp
+++ b/include/agateseam/share_holder.hpp
@@ -149,7 +149,8 @@
     [[nodiscard]] share_line make_line(shard_state& shard, account& one, time_point now);
     void take(account& one, const share_grant& grant);
     [[nodiscard]] std::vector<std::pair<callback, admission_decision>>
-    serve_waiters(shard_state& shard, const std::map<std::string, duration>& refused);
+    serve_waiters(shard_state& shard, const std::map<std::string, duration>& refused,
+                  bool known);
     [[nodiscard]] std::vector<std::pair<callback, admission_decision>>
     take_locked(const share_answer& answer);
     [[nodiscard]] std::vector<std::pair<callback, admission_decision>>
--- a/include/agateseam/share_home.hpp
+++ b/include/agateseam/share_home.hpp
@@ -39,7 +39,11 @@
     /// delivered. Only listed entries get grants.
     void set_entries(std::span<const std::string> listed);
 
-    /// \brief Becomes the home of a shard with an empty bucket for each workspace.
+    /// \brief Becomes the home of a shard.
+    ///
+    /// The buckets begin empty, because the home before may have granted all it had. At
+    /// the first home of all, a workspace that it has not known before begins full.
+    ///
     /// \param epoch greater than that of every earlier home of the shard.
     /// \param first whether the shard never had a home, so that nothing is held.
     void begin(std::uint32_t shard, std::uint64_t epoch, bool first);
@@ -66,6 +70,7 @@
     struct shard_state
     {
         std::uint64_t epoch = 0;
+        bool first = false;            ///< Whether the shard had no home before.
         std::set<std::string> missing; ///< Entries that have not answered the census.
     };
 
@@ -97,6 +102,7 @@
     std::unique_ptr<allowance> buckets;
     std::map<std::string, allowance_terms, std::less<>> terms;
     std::set<std::string, std::less<>> configured; ///< Workspaces with a bucket here.
+    std::set<std::string, std::less<>> seen;       ///< Those that ever had one.
     std::set<std::string> entries;
     std::map<std::uint32_t, shard_state> shards;
     std::map<holder_key, holder_state> holders;
--- a/src/core/allowance.cpp
+++ b/src/core/allowance.cpp
@@ -75,6 +75,7 @@
     if (known == nullptr)
     {
         next.state = std::make_shared<bucket>();
+        next.accrued = terms.full ? next.burst : 0;
         return next;
     }
     next.state = known->state;
--- a/src/core/share_holder.cpp
+++ b/src/core/share_holder.cpp
@@ -123,6 +123,7 @@
             return;
         }
         decision.retry_after = this->options.report_interval;
+        decision.known = false;
     }
     done(decision);
 }
@@ -296,7 +297,7 @@
             refused[grant.workspace] = grant.retry_after;
         }
     }
-    return this->serve_waiters(shard, refused);
+    return this->serve_waiters(shard, refused, true);
 }
 
 /// Asks again soon; refuses what has waited too long for a home.
@@ -314,20 +315,21 @@
     {
         refused[one->workspace] = this->options.patience;
     }
-    return this->serve_waiters(shard, refused);
+    return this->serve_waiters(shard, refused, false);
 }
 
 /// Serves what the report named, oldest first: admitted where the credit is enough,
 /// refused otherwise.
 std::vector<std::pair<share_holder::callback, admission_decision>>
 share_holder::serve_waiters(shard_state& shard,
-                            const std::map<std::string, duration>& refused)
+                            const std::map<std::string, duration>& refused, bool known)
 {
     std::vector<std::pair<callback, admission_decision>> served;
     std::deque<waiter> rest;
     for (waiter& each : shard.waiters)
     {
         admission_decision decision;
+        decision.known = known;
         decision.admitted = each.owner->take(each.tokens);
         decision.limit = each.owner->limit;
         decision.remaining = static_cast<double>(each.owner->credit.load());
@@ -358,7 +360,7 @@
         {
             refused[one->workspace] = retry_after;
         }
-        served = this->serve_waiters(state, refused);
+        served = this->serve_waiters(state, refused, false);
     }
     for (const auto& [done, decision] : served)
     {
--- a/src/core/share_home.cpp
+++ b/src/core/share_home.cpp
@@ -59,9 +59,11 @@
     std::set<std::string, std::less<>> names;
     for (const auto& [name, each] : this->terms)
     {
-        if (this->shards.contains(share_shard(name)))
+        const auto shard = this->shards.find(share_shard(name));
+        if (shard != this->shards.end())
         {
             wanted.push_back(each);
+            wanted.back().full = shard->second.first && this->seen.insert(name).second;
             names.insert(name);
         }
     }
@@ -118,11 +120,11 @@
 void share_home::begin(std::uint32_t shard, std::uint64_t epoch, bool first)
 {
     const std::scoped_lock hold(this->mutex);
-    const bool begun =
-        this->shards
-            .try_emplace(shard, shard_state{epoch, first ? std::set<std::string>{}
-                                                         : this->entries})
-            .second;
+    const bool begun = this->shards
+                           .try_emplace(shard, shard_state{epoch, first,
+                                                           first ? std::set<std::string>{}
+                                                                 : this->entries})
+                           .second;
     if (begun)
     {
         this->configure_buckets();
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -40,6 +40,7 @@
         this->config.reset();
         this->members.reset();
         this->server.reset();
+        this->context->allowance->stop();
         this->context->claims->stop();
         this->context->renewer->stop();
         this->context->client.reset();
@@ -90,6 +91,10 @@
         {
             this->queue_operator(std::move(exchange));
         }
+        else if (path == "/rpc")
+        {
+            this->serve_rpc(*exchange);
+        }
         else if (path == "/peer/config")
         {
             this->serve_peer(std::move(exchange));
@@ -121,6 +126,21 @@
                this->context->board.config.read() && this->context->board.members.read();
     }
 
+    /// Serves the other entries' calls about shares.
+    void serve_rpc(http_exchange& exchange)
+    {
+        if (!equal_secrets(exchange.request().header(headers::fleet),
+                           this->context->settings.fleet_secret))
+        {
+            respond(exchange, to_api_error({error_code::unauthorized, "rpc", "",
+                                            "the fleet secret is missing or wrong"},
+                                           run_state::not_run));
+            return;
+        }
+        exchange.respond(200, {{"Content-Type", "application/json"}},
+                         this->context->allowance->serve(exchange.request().body));
+    }
+
     void serve_peer(std::shared_ptr<http_exchange> exchange)
     {
         if (!equal_secrets(exchange->request().header(headers::fleet),
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -57,7 +57,9 @@
     }
     context->relay = std::move(*relay);
     context->peers = std::make_unique<config_peers>(context->time, *context->relay);
-    auto allowance = static_admission::create(context->time, 0);
+    auto allowance = share_controller::create(context->time, settings.vm,
+                                              context->incarnation, settings.fleet_secret,
+                                              *context->client, *context->store);
     if (!allowance)
     {
         return tl::unexpected<error>(allowance.error());
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -14,11 +14,11 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
-#include <agateseam/static_admission.hpp>
 #include <daemon/config_peers.hpp>
 #include <daemon/lease_renewer.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
+#include <daemon/share_controller.hpp>
 #include <net/http_client.hpp>
 
 namespace agateseam
@@ -78,7 +78,7 @@
     std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
     std::unique_ptr<config_relay> relay;
     std::unique_ptr<config_peers> peers;
-    std::unique_ptr<static_admission> allowance;
+    std::unique_ptr<share_controller> allowance;
     std::unique_ptr<placement> placer;
     std::unique_ptr<lease_renewer> renewer;
     std::atomic<duration::rep> admit_until{0}; ///< Monotonic; 0 before the first check.
--- a/src/daemon/member_controller.cpp
+++ b/src/daemon/member_controller.cpp
@@ -1,7 +1,6 @@
 #include <daemon/member_controller.hpp>
 
 #include <algorithm>
-#include <span>
 
 namespace agateseam
 {
@@ -33,19 +32,6 @@
     return fresh;
 }
 
-/// Counts the entries that share each allowance; 0 as long as this one is not listed.
-unsigned sharing_entries(std::span<const vm_record> listed, std::string_view own_vm)
-{
-    unsigned count = 0;
-    bool own_listed = false;
-    for (const vm_record& vm : listed)
-    {
-        count += vm.role == "entry" ? 1 : 0;
-        own_listed = own_listed || vm.name == own_vm;
-    }
-    return own_listed ? count : 0;
-}
-
 } // namespace
 
 member_controller::member_controller(entry_context& shared)
@@ -77,8 +63,7 @@
     {
         return;
     }
-    this->context->allowance->set_entries(
-        sharing_entries(*listed, this->context->settings.vm));
+    this->context->allowance->set_entries(*listed);
     std::vector<peer_record> entries;
     for (const vm_record& vm : *listed)
     {
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -54,10 +54,15 @@
             return;
         }
         this->parts = std::move(*read);
-        if (!this->find_pool() || !this->admit())
+        if (this->find_pool())
         {
-            return;
+            this->admit();
         }
+    }
+
+    /// Goes on once the tokens are reserved.
+    void admitted()
+    {
         this->id = this->context->next_request_id();
         this->deadline =
             this->context->time.now() + this->context->settings.limits.first_token;
@@ -150,29 +155,36 @@
         return false;
     }
 
-    [[nodiscard]] bool admit()
+    void admit()
     {
         const double wanted =
             double{0} + this->parts.prompt_tokens + this->parts.output_tokens;
-        const admission_decision decision =
-            this->context->allowance->reserve(this->workspace, wanted);
+        this->context->allowance->ask(
+            this->workspace, wanted,
+            [self = this->shared_from_this(), wanted](const admission_decision& decision)
+            { self->decided(decision, wanted); });
+    }
+
+    void decided(const admission_decision& decision, double wanted)
+    {
         this->limit = decision.limit;
         this->remaining = decision.remaining;
-        if (!decision.admitted)
-        {
-            api_error refused;
-            refused.status = 429;
-            refused.code = "rate_limit_exceeded";
-            refused.step = "admit";
-            refused.message = "the workspace's allowance is used up";
-            refused.retry_after =
-                std::max(milliseconds(1'000),
-                         std::chrono::duration_cast<milliseconds>(decision.retry_after));
-            this->refuse(refused);
-            return false;
-        }
-        this->reserved = wanted;
-        return true;
+        if (decision.admitted)
+        {
+            this->reserved = wanted;
+            this->admitted();
+            return;
+        }
+        api_error refused;
+        refused.status = decision.known ? 429 : 503;
+        refused.code = decision.known ? "rate_limit_exceeded" : "unavailable";
+        refused.step = "admit";
+        refused.message = decision.known ? "the workspace's allowance is used up"
+                                         : "the allowance's home cannot be reached";
+        refused.retry_after =
+            std::max(milliseconds(1'000),
+                     std::chrono::duration_cast<milliseconds>(decision.retry_after));
+        this->refuse(refused);
     }
 
     void next_attempt()
--- /dev/null
+++ b/src/daemon/share_controller.hpp
@@ -0,0 +1,72 @@
+/// Shares each workspace's allowance with the other entries: by JSON-RPC between entries,
+/// and with the homes' records in the platform's store.
+#pragma once
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+#include <thread>
+
+#include <agateseam/configuration.hpp>
+#include <agateseam/object_store.hpp>
+#include <agateseam/share_node.hpp>
+#include <net/http_client.hpp>
+#include <net/jsonrpc_facade.hpp>
+
+namespace agateseam
+{
+
+class share_calls;
+
+/// \brief The entry's admission; sends what is due on a thread of its own.
+class share_controller final : public admission
+{
+  public:
+    /// \param incarnation greater than that of every earlier process on the VM.
+    [[nodiscard]] static result<std::unique_ptr<share_controller>>
+    create(const clock_source& time, const std::string& vm, std::uint64_t incarnation,
+           const std::string& fleet_secret, http_client& client, object_store& store);
+
+    ~share_controller() override;
+    share_controller(const share_controller&) = delete;
+    share_controller& operator=(const share_controller&) = delete;
+
+    [[nodiscard]] admission_decision reserve(std::string_view workspace,
+                                             double tokens) override;
+    void deliver(std::string_view workspace, double tokens) override;
+    void release(std::string_view workspace, double tokens) override;
+
+    /// \brief Reserves, if need be by asking the home.
+    /// \param done called once: at once, or later on another thread.
+    void ask(std::string_view workspace, double tokens, share_holder::callback done);
+
+    /// \brief Takes over the rates and bursts of a configuration.
+    void configure(const configuration& current);
+
+    /// \brief Takes over a reading of the platform's list, changed or not.
+    void set_entries(std::span<const vm_record> listed);
+
+    /// \brief Serves a JSON-RPC request of another entry.
+    [[nodiscard]] std::string serve(const std::string& request);
+
+    /// \brief Ends all calls; reservations that wait are dropped.
+    void stop();
+
+  private:
+    share_controller() = default;
+
+    void run();
+
+    std::unique_ptr<share_calls> calls;
+    std::unique_ptr<share_node> node;
+    std::unique_ptr<jsonrpc_server> server;
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool asked = false;
+    bool stopping = false;
+    std::thread worker;
+};
+
+} // namespace agateseam
--- a/tests/unit/allowance_share_test.cpp
+++ b/tests/unit/allowance_share_test.cpp
@@ -569,6 +569,23 @@
     CHECK(home->level(workspace) == doctest::Approx(400));
 }
 
+TEST_CASE("buckets begin full at the first home of all, once, and empty at a later one")
+{
+    manual_clock time;
+    const std::uint32_t shard = share_shard(workspace);
+    auto first = std::move(*share_home::create(time));
+    first->configure(terms());
+    first->begin(shard, 1, true);
+    CHECK(first->level(workspace) == doctest::Approx(burst));
+    first->configure({});
+    first->configure(terms());
+    CHECK(first->level(workspace) == doctest::Approx(0));
+    auto second = std::move(*share_home::create(time));
+    second->configure(terms());
+    second->begin(shard, 2, false);
+    CHECK(second->level(workspace) == doctest::Approx(0));
+}
+
 TEST_CASE("a home takes over only what nobody can still be serving")
 {
     const std::vector<std::string> listed{"entry-1", "entry-2"};
