--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -8,6 +8,7 @@
 #include <agateseam/api_key.hpp>
 #include <daemon/agent_context.hpp>
 #include <daemon/api_error.hpp>
+#include <daemon/usage_controller.hpp>
 
 namespace agateseam
 {
@@ -39,6 +40,7 @@
         {
             this->beater.join();
         }
+        this->usage.reset();
         this->context->slots->stop();
         this->server.reset();
         this->context->client.reset();
@@ -48,12 +50,19 @@
 
     [[nodiscard]] result<void> start()
     {
+        this->context->telemetry->gauges = [shared = this->context.get()]
+        {
+            const load_report load = shared->report();
+            return process_gauges{load.slots, load.used, load.queued, shared->open};
+        };
         auto created = http_server::create(this->context->settings.listen, *this);
         if (!created)
         {
             return tl::unexpected<error>(created.error());
         }
         this->server = std::move(*created);
+        this->usage = std::make_unique<usage_controller>(*this->context->telemetry,
+                                                         *this->context->client);
         this->beater = std::thread([this] { this->beat(); });
         return {};
     }
@@ -79,8 +88,10 @@
             const bool serves = this->context->ready && !this->context->leaving;
             exchange->respond(serves ? 200 : 503, {}, "");
         }
-        else if (!equal_secrets(exchange->request().header(headers::fleet),
-                                this->context->settings.fleet_secret))
+        else if (this->context->telemetry->serve(*exchange, this->trusted(*exchange)))
+        {
+        }
+        else if (!this->trusted(*exchange))
         {
             respond(*exchange, to_api_error({error_code::unauthorized, "receive order",
                                              "", "the fleet secret is missing or wrong"},
@@ -107,6 +118,12 @@
     }
 
   private:
+    [[nodiscard]] bool trusted(const http_exchange& exchange) const
+    {
+        return equal_secrets(exchange.request().header(headers::fleet),
+                             this->context->settings.fleet_secret);
+    }
+
     /// An entry names the attempts that it still relays.
     void renew(http_exchange& exchange)
     {
@@ -134,6 +151,7 @@
             return;
         }
         const http_request& request = exchange->request();
+        this->context->telemetry->take_stamp(request.header(headers::stamp));
         auto order = parse_attempt_order(request.header(headers::attempt));
         if (!order)
         {
@@ -189,6 +207,7 @@
 
     std::unique_ptr<agent_context> context;
     std::unique_ptr<http_server> server;
+    std::unique_ptr<usage_controller> usage;
     std::mutex mutex;
     std::condition_variable wake;
     bool stopping = false;
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -5,6 +5,23 @@
 namespace agateseam
 {
 
+namespace
+{
+
+/// Takes the caller's key out of the request's head.
+result<api_key_parts> read_key(const http_request& request)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view header = request.header("Authorization");
+    if (!header.starts_with(scheme))
+    {
+        return fail(error_code::unauthorized, "authenticate", "", "no key came along");
+    }
+    return split_api_key(header.substr(scheme.size()));
+}
+
+} // namespace
+
 std::unique_ptr<const configuration_view> configuration_view::create(configuration taken,
                                                                      std::string document)
 {
@@ -28,6 +45,8 @@
     context->settings = settings;
     context->incarnation =
         static_cast<std::uint64_t>(context->time.wall_now().time_since_epoch().count());
+    context->telemetry = std::make_unique<process_telemetry>(settings, context->time,
+                                                             context->incarnation);
     http_client_options options;
     options.threads = settings.listen.threads;
     auto client = http_client::create(options);
@@ -77,15 +96,15 @@
            std::to_string(++this->requests);
 }
 
+key_flag entry_context::follow_key(const http_request& request)
+{
+    const auto parts = read_key(request);
+    return this->keys.add(parts ? parts->id : std::string_view{}, this->board.config);
+}
+
 result<std::string> entry_context::authenticate(const http_request& request) const
 {
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string_view header = request.header("Authorization");
-    if (!header.starts_with(scheme))
-    {
-        return fail(error_code::unauthorized, "authenticate", "", "no key came along");
-    }
-    const auto parts = split_api_key(header.substr(scheme.size()));
+    const auto parts = read_key(request);
     if (!parts)
     {
         return tl::unexpected<error>(parts.error());
@@ -107,8 +126,30 @@
     return this->time.now().time_since_epoch().count() < this->admit_until;
 }
 
+bool entry_context::trusted(const http_request& request) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view token = request.header("Authorization");
+    const bool from_operator =
+        token.starts_with(scheme) &&
+        equal_secrets(token.substr(scheme.size()), this->settings.operator_token);
+    const bool from_fleet =
+        equal_secrets(request.header(headers::fleet), this->settings.fleet_secret);
+    return from_operator || from_fleet;
+}
+
+process_gauges entry_context::gauges() const
+{
+    process_gauges read;
+    read.open = this->open;
+    const auto config = this->board.config.read();
+    read.config_number = config ? config->current.number : 0;
+    return read;
+}
+
 void entry_context::note_load(const std::vector<http_header>& head)
 {
+    this->telemetry->take_stamp(head);
     for (const auto& [name, value] : head)
     {
         if (name != headers::load)
--- a/src/daemon/messages.hpp
+++ b/src/daemon/messages.hpp
@@ -20,7 +20,10 @@
 inline constexpr std::string_view fleet = "x-agateseam-fleet";     ///< The fleet secret.
 inline constexpr std::string_view attempt = "x-agateseam-attempt"; ///< attempt_order.
 inline constexpr std::string_view load = "x-agateseam-load";       ///< load_report.
-inline constexpr std::string_view run = "x-agateseam-run";         ///< run_state.
+inline constexpr std::string_view stamp = "x-agateseam-stamp";     ///< hybrid_time.
+inline constexpr std::string_view engine_time =
+    "x-agateseam-engine-us"; ///< Engine time of a prefill, microseconds.
+inline constexpr std::string_view run = "x-agateseam-run"; ///< run_state.
 } // namespace headers
 
 /// \brief An entry's order to an agent; the caller's body goes beside it unchanged.
--- a/src/daemon/service_attempt.cpp
+++ b/src/daemon/service_attempt.cpp
@@ -1,6 +1,7 @@
 #include <daemon/agent_context.hpp>
 
 #include <daemon/api_error.hpp>
+#include <daemon/attempt_meter.hpp>
 
 namespace agateseam
 {
@@ -17,6 +18,7 @@
         : context(&shared)
         , exchange(std::move(relay))
         , order(std::move(accepted))
+        , meter(*shared.telemetry, this->order)
     {
         ++this->context->open;
     }
@@ -49,6 +51,7 @@
             call.headers.emplace_back("Idempotency-Key", this->order.idempotency_key);
         }
         call.body = this->exchange->take_body();
+        this->meter.note(event_kind::service_begun);
         const auto running = this->context->client->fetch_async(
             std::move(call), [self = this->shared_from_this()](result<http_reply> reply)
             { self->on_reply(std::move(reply)); });
@@ -67,14 +70,17 @@
             const bool begun = reply.error().code != error_code::unavailable;
             const run_state run = begun ? run_state::unknown : run_state::not_run;
             this->context->attempts.end(this->order.id, run, this->context->time.now());
+            this->meter.note(event_kind::outcome_unknown, {}, 0, to_string(run));
             respond(*this->exchange, to_api_error(reply.error(), run));
             return;
         }
         this->context->attempts.end(this->order.id, run_state::ran,
                                     this->context->time.now());
+        this->meter.note(event_kind::service_ended, {}, reply->status);
         std::vector<http_header> head{
             {std::string(headers::run), std::string(to_string(run_state::ran))},
-            this->context->load_header()};
+            this->context->load_header(),
+            this->context->telemetry->stamp_header()};
         const std::string_view type = reply->header("Content-Type");
         if (!type.empty())
         {
@@ -86,6 +92,7 @@
     agent_context* context;
     std::shared_ptr<http_exchange> exchange;
     attempt_order order;
+    attempt_meter meter;
 };
 
 } // namespace
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -28,10 +28,11 @@
     std::string pool;
     std::string url; ///< Such as "http://127.0.0.1:8000".
     std::uint32_t slots = 20;
-    std::uint32_t queue_limit = 256;         ///< Requests that may wait at the agent.
-    double tokens_per_second = 20'000;       ///< Prefill rate before any was observed.
-    double link_tokens_per_second = 400'000; ///< KV cache that the link carries.
-    bool checks_generation = true;           ///< Whether it refuses old orders itself.
+    std::uint32_t queue_limit = 256;            ///< Requests that may wait at the agent.
+    double tokens_per_second = 20'000;          ///< Prefill rate before any was observed.
+    double link_tokens_per_second = 400'000;    ///< KV cache that the link carries.
+    std::uint64_t kv_bytes_per_token = 131'072; ///< KV cache of one prompt token.
+    bool checks_generation = true;              ///< Whether it refuses old orders itself.
 };
 
 /// \brief Limits on what callers may do and how long things may take.
@@ -41,8 +42,11 @@
     std::chrono::milliseconds first_token{30'000};
     std::chrono::milliseconds silence{2'000}; ///< Of a stream between our processes.
     std::chrono::milliseconds drain{30'000};  ///< From SIGTERM to the end.
-    std::uint32_t attempts = 3;               ///< Tries of one request.
-    std::uint32_t output_tokens = 4'096;      ///< Cap on a request's max_tokens.
+    std::uint32_t members = 64;          ///< Agents that an entry keeps in touch with.
+    std::uint32_t heartbeats = 40;       ///< Calls for load a second, over all agents.
+    std::uint32_t attempts = 3;          ///< Tries of one request.
+    std::uint32_t output_tokens = 4'096; ///< Cap on a request's max_tokens.
+    std::chrono::milliseconds usage_flush{60'000}; ///< Between flushes of usage.
 };
 
 /// \brief Everything a daemon is told at start.
