--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -64,7 +64,7 @@
         this->context->telemetry->gauges = [shared = this->context.get()]
         { return shared->gauges(); };
         this->context->telemetry->role_metrics = [shared = this->context.get()]
-        { return to_text(shared->counters); };
+        { return to_text(shared->counters) + to_metrics(*shared->store); };
         this->renewals = std::make_unique<renewal_controller>(*this->context);
         this->operator_worker = std::thread([this] { this->serve_operators(); });
         auto created = http_server::create(this->context->settings.listen, *this);
