--- a/bench/forecast_main.cpp
+++ b/bench/forecast_main.cpp
@@ -1,5 +1,7 @@
 /// Back-tests the forecast on generated histories against simple baselines.
+#include <array>
 #include <cmath>
+#include <fstream>
 #include <iostream>
 #include <map>
 
@@ -124,6 +126,33 @@
     }
 }
 
+/// Writes one history of each kind as `agateseam forecast --history` reads it.
+void write_history(const std::string& name, std::uint64_t seed)
+{
+    constexpr double output_price = 2e-6; // of a token, as in the demo
+    constexpr std::array<const char*, history_kinds.size()> workspaces{
+        "oshana", "swakop", "dune", "kalahari", "crumb"};
+    json hours = json::object();
+    usage_hour_number now = 0;
+    for (std::size_t kind = 0; kind < history_kinds.size(); ++kind)
+    {
+        const auto made = generate_history(history_kinds[kind], seed);
+        const usage_hour_number shift = now == 0 ? 0 : now - made.now;
+        now = now == 0 ? made.now : now;
+        for (const hourly_amount& item : made.hours)
+        {
+            if (item.hour < made.now)
+            {
+                json row = json::array({workspaces[kind], "drafting", 1, 0, 0});
+                row.push_back(static_cast<std::uint64_t>(item.amount / output_price));
+                row.insert(row.end(), {0, 0, 0, 0, 0, 0});
+                hours[std::to_string(item.hour + shift)].push_back(std::move(row));
+            }
+        }
+    }
+    std::ofstream(name) << json{{"now", now}, {"hours", hours}};
+}
+
 int run(int argc, char** argv)
 {
     cxxopts::Options options("forecast_bench",
@@ -131,6 +160,8 @@
     options.add_options()("json", "print JSON")("check", "exit 1 when a bar is missed")(
         "seeds", "histories of each kind",
         cxxopts::value<std::uint64_t>()->default_value("1000"))(
+        "write-history", "write a generated history to this file",
+        cxxopts::value<std::string>())(
         "first-seed", "", cxxopts::value<std::uint64_t>()->default_value("1"))("help",
                                                                                "");
     const auto arguments = options.parse(argc, argv);
@@ -139,6 +170,12 @@
         std::cout << options.help();
         return 0;
     }
+    if (arguments.count("write-history") > 0)
+    {
+        write_history(arguments["write-history"].as<std::string>(),
+                      arguments["first-seed"].as<std::uint64_t>());
+        return 0;
+    }
     const auto seeds = arguments["seeds"].as<std::uint64_t>();
     const auto first = arguments["first-seed"].as<std::uint64_t>();
     json kinds = json::object();
--- a/include/agateseam/hybrid_clock.hpp
+++ b/include/agateseam/hybrid_clock.hpp
@@ -31,7 +31,14 @@
         return this->packed & ((std::uint64_t{1} << counter_bits) - 1);
     }
 
-    friend constexpr auto operator<=>(const hybrid_time&, const hybrid_time&) = default;
+    friend constexpr bool operator==(const hybrid_time&, const hybrid_time&) = default;
+
+    /// \brief Orders by time, then by counter.
+    friend constexpr bool operator<(const hybrid_time& left,
+                                    const hybrid_time& right) noexcept
+    {
+        return left.packed < right.packed;
+    }
 
     static constexpr unsigned counter_bits = 16;
 };
--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -34,6 +34,19 @@
 
     /// \brief Returns the number that a patch is made against: --against, or the current.
     [[nodiscard]] result<std::uint64_t> against() const;
+
+    /// \brief Returns an option's text; empty when it was not given.
+    [[nodiscard]] std::string option(const char* name) const
+    {
+        return this->arguments.count(name) > 0 ? this->arguments[name].as<std::string>()
+                                               : std::string();
+    }
+
+    /// \brief Tells whether an option was given.
+    [[nodiscard]] bool has(const char* name) const
+    {
+        return this->arguments.count(name) > 0;
+    }
 };
 
 /// \brief One command: its words, its place in the help, and what it does.
@@ -49,6 +62,15 @@
 /// \brief Commands on the configuration: workspaces, keys, pools, routes.
 [[nodiscard]] std::span<const command> config_commands() noexcept;
 
+/// \brief Commands on money: usage and its forecast.
+[[nodiscard]] std::span<const command> usage_commands() noexcept;
+
+/// \brief Commands on processes: what they are and what they do.
+[[nodiscard]] std::span<const command> status_commands() noexcept;
+
+/// \brief The time line of events over all processes.
+[[nodiscard]] std::span<const command> timeline_commands() noexcept;
+
 /// \brief Prints an error; returns the exit code that goes with it.
 int report(const error& fault);
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -45,7 +45,8 @@
 std::vector<command> all_commands()
 {
     std::vector<command> all;
-    for (const std::span<const command> group : {config_commands()})
+    for (const std::span<const command> group :
+         {config_commands(), usage_commands(), status_commands(), timeline_commands()})
     {
         all.insert(all.end(), group.begin(), group.end());
     }
@@ -113,6 +114,16 @@
     add("rate", "", cxxopts::value<double>());
     add("burst", "", cxxopts::value<double>());
     add("weight", "", cxxopts::value<double>());
+    for (const char* name : {"month", "workspace", "request", "vm", "history"})
+    {
+        add(name, "", cxxopts::value<std::string>());
+    }
+    add("since", "", cxxopts::value<double>());
+    add("rounds", "", cxxopts::value<int>());
+    add("file", "", cxxopts::value<std::vector<std::string>>());
+    add("json", "");
+    add("csv", "");
+    add("html", "");
     add("help", "");
     add("version", "");
     add("words", "", cxxopts::value<std::vector<std::string>>());
--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -89,4 +89,38 @@
     return this->call(std::move(request));
 }
 
+result<std::string> operator_client::page(const std::string& path) const
+{
+    http_call request;
+    request.url = this->url + path;
+    request.step = "operator";
+    request.total_timeout = call_limit;
+    request.headers = {{"Authorization", "Bearer " + this->token}};
+    auto reply = this->client->fetch(std::move(request));
+    if (!reply)
+    {
+        return tl::unexpected<error>(reply.error());
+    }
+    if (reply->status != status_ok)
+    {
+        return tl::unexpected<error>(refusal(*reply, this->url));
+    }
+    return std::move(reply->body);
+}
+
+result<json> operator_client::object(const std::string& path) const
+{
+    const auto text = this->page(path);
+    if (!text)
+    {
+        return tl::unexpected<error>(text.error());
+    }
+    json body = json::parse(*text, nullptr, false);
+    if (!body.is_object())
+    {
+        return fail(error_code::broken, "operator", this->url, "the answer is not JSON");
+    }
+    return body;
+}
+
 } // namespace agateseam
--- a/src/cli/operator_client.hpp
+++ b/src/cli/operator_client.hpp
@@ -34,6 +34,13 @@
     [[nodiscard]] result<numbered_document>
     patch(std::uint64_t against, const nlohmann::json& merge_patch) const;
 
+    /// \brief Reads a page of the operator interface.
+    /// \param path with its query, such as "/operator/processes".
+    [[nodiscard]] result<std::string> page(const std::string& path) const;
+
+    /// \brief Reads a page that is a JSON object.
+    [[nodiscard]] result<nlohmann::json> object(const std::string& path) const;
+
   private:
     operator_client() = default;
 
--- /dev/null
+++ b/src/cli/status_commands.cpp
@@ -0,0 +1,165 @@
+#include "command.hpp"
+
+#include <array>
+#include <chrono>
+#include <iostream>
+#include <map>
+#include <thread>
+
+namespace agateseam
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::chrono::seconds top_interval{2};
+
+/// Asks every process on the platform's list, or the one of --vm.
+result<json> read_statuses(const command_line& line)
+{
+    const auto listed = line.client.object("/operator/processes");
+    if (!listed)
+    {
+        return tl::unexpected<error>(listed.error());
+    }
+    json rows = json::array();
+    for (const json& item : (*listed)["processes"])
+    {
+        const std::string vm = item.value("vm", "");
+        if (!line.option("vm").empty() && line.option("vm") != vm)
+        {
+            continue;
+        }
+        json row = item;
+        const auto status = line.client.object("/operator/process/" + vm + "/status");
+        row["answers"] = status.has_value();
+        if (status)
+        {
+            row.update(*status);
+        }
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+void print_table(const json& rows)
+{
+    std::printf("%-16s%-8s%-14s%-10s%8s%8s%8s%10s%8s%10s\n", "vm", "role", "domain",
+                "version", "config", "open", "waiting", "slots", "store", "leaving");
+    for (const json& row : rows)
+    {
+        const std::string slots = std::to_string(row.value("slots_held", 0)) + "/" +
+                                  std::to_string(row.value("slots", 0));
+        const bool answers = row.value("answers", false);
+        std::printf(
+            "%-16s%-8s%-14s%-10s%8d%8d%8d%10s%8s%10s\n", row.value("vm", "").c_str(),
+            row.value("role", "").c_str(), row.value("failure_domain", "").c_str(),
+            answers ? row.value("version", "").c_str() : "silent",
+            row.value("config_number", 0), row.value("open", 0), row.value("waiting", 0),
+            slots.c_str(), row.value("store_reachable", true) ? "ok" : "lost",
+            row.value("leaving", false) ? "yes" : "no");
+    }
+}
+
+int show_status(const command_line& line)
+{
+    const auto rows = read_statuses(line);
+    if (!rows)
+    {
+        return report(rows.error());
+    }
+    if (line.has("json"))
+    {
+        std::cout << rows->dump(2) << '\n';
+    }
+    else
+    {
+        print_table(*rows);
+    }
+    bool all = true;
+    for (const json& row : *rows)
+    {
+        all = all && row["answers"].get<bool>();
+    }
+    return all ? exit_code::done : exit_code::fault;
+}
+
+/// Sums over the entries, and slots over the agents.
+json fleet_sums(const json& rows)
+{
+    json sums = json::object();
+    for (const char* name : {"open", "waiting", "slots", "slots_held", "admitted",
+                             "whole", "good", "refused_inside_rate", "output_tokens"})
+    {
+        std::int64_t sum = 0;
+        for (const json& row : rows)
+        {
+            sum += row.value(name, std::int64_t{0});
+        }
+        sums[name] = sum;
+    }
+    return sums;
+}
+
+int show_top(const command_line& line)
+{
+    const int rounds = line.has("rounds") ? line.arguments["rounds"].as<int>() : 0;
+    json before;
+    for (int round = 0; rounds == 0 || round < rounds; ++round)
+    {
+        if (round > 0)
+        {
+            std::this_thread::sleep_for(top_interval);
+        }
+        const auto rows = read_statuses(line);
+        if (!rows)
+        {
+            return report(rows.error());
+        }
+        const json sums = fleet_sums(*rows);
+        const auto rate = [&](const char* name)
+        {
+            const std::int64_t passed =
+                before.is_object()
+                    ? sums[name].get<std::int64_t>() - before[name].get<std::int64_t>()
+                    : 0;
+            return static_cast<double>(passed) /
+                   static_cast<double>(top_interval.count());
+        };
+        if (line.has("json"))
+        {
+            std::cout << sums.dump() << std::endl;
+        }
+        else
+        {
+            std::printf("open %lld  slots %lld/%lld  waiting %lld  requests/s %.1f  "
+                        "in time/s %.1f  tokens/s %.0f  refused inside rate %lld\n",
+                        sums["open"].get<long long>(),
+                        sums["slots_held"].get<long long>(),
+                        sums["slots"].get<long long>(), sums["waiting"].get<long long>(),
+                        rate("whole"), rate("good"), rate("output_tokens"),
+                        sums["refused_inside_rate"].get<long long>());
+            std::fflush(stdout);
+        }
+        before = sums;
+    }
+    return exit_code::done;
+}
+
+constexpr std::array commands{
+    command{"status", "[--vm VM] [--json]",
+            "show every process: version, load, configuration, store", 1, show_status},
+    command{"top", "[--rounds N] [--json]", "show the fleet's load every two seconds", 1,
+            show_top},
+};
+
+} // namespace
+
+std::span<const command> status_commands() noexcept
+{
+    return commands;
+}
+
+} // namespace agateseam
--- /dev/null
+++ b/src/cli/usage_commands.cpp
@@ -0,0 +1,244 @@
+#include "usage_history.hpp"
+
+#include <cstdio>
+#include <iostream>
+
+namespace agateseam
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr double seconds_per_day = 86'400;
+
+/// The configuration that prices and allowances come from.
+result<configuration> read_configuration(const command_line& line)
+{
+    const auto current = line.client.config();
+    if (!current)
+    {
+        return tl::unexpected<error>(current.error());
+    }
+    return configuration::parse(current->document.dump(), current->number);
+}
+
+/// The month asked for, or the one that an hour lies in.
+result<calendar_month> month_of(const command_line& line, calendar_month fallback)
+{
+    const std::string text = line.option("month");
+    return text.empty() ? result<calendar_month>(fallback) : calendar_month::parse(text);
+}
+
+int print_rows(const command_line& line, const json& rows,
+               std::span<const char* const> columns)
+{
+    if (line.has("json"))
+    {
+        std::cout << rows.dump(2) << '\n';
+        return exit_code::done;
+    }
+    const bool csv = line.has("csv");
+    for (std::size_t column = 0; column < columns.size(); ++column)
+    {
+        std::printf(csv ? "%s%s" : "%s%16s", csv && column > 0 ? "," : "",
+                    columns[column]);
+    }
+    std::printf("\n");
+    for (const json& row : rows)
+    {
+        for (std::size_t column = 0; column < columns.size(); ++column)
+        {
+            const json& cell = row.at(columns[column]);
+            char number[64] = {};
+            (void)std::snprintf(number, sizeof number, "%.4f",
+                                cell.is_number_float() ? cell.get<double>() : 0.0);
+            const std::string text = cell.is_string()         ? cell.get<std::string>()
+                                     : cell.is_number_float() ? std::string(number)
+                                                              : cell.dump();
+            std::printf(csv ? "%s%s" : "%s%16s", csv && column > 0 ? "," : "",
+                        text.c_str());
+        }
+        std::printf("\n");
+    }
+    return exit_code::done;
+}
+
+int show_usage(const command_line& line)
+{
+    const auto config = read_configuration(line);
+    const auto now = config ? read_hour(line) : tl::unexpected<error>(config.error());
+    if (!now)
+    {
+        return report(now.error());
+    }
+    const auto month = month_of(line, calendar_month::of_day(*now / hours_per_day));
+    if (!month)
+    {
+        return report(month.error());
+    }
+    const auto history = read_history(line, month->first_day() * hours_per_day,
+                                      month->next().first_day() * hours_per_day);
+    if (!history)
+    {
+        return report(history.error());
+    }
+    usage_table total;
+    for (const auto& [hour, rows] : history->hours)
+    {
+        add(total, rows);
+    }
+    json rows = json::array();
+    for (const auto& [key, counters] : total)
+    {
+        const auto price = config->prices.find(key.pool);
+        json row{{"month", month->to_string()},
+                 {"workspace", key.workspace},
+                 {"pool", key.pool},
+                 {"amount", price == config->prices.end()
+                                ? 0.0
+                                : price_of(counters, price->second)}};
+        for (const usage_field& field : usage_fields)
+        {
+            row[std::string(field.name)] = counters.*field.member;
+        }
+        if (line.option("workspace").empty() || line.option("workspace") == key.workspace)
+        {
+            rows.push_back(std::move(row));
+        }
+    }
+    constexpr const char* columns[] = {
+        "workspace",     "pool",          "amount",        "requests",
+        "prompt_tokens", "cached_tokens", "output_tokens", "wasted_prompt_tokens"};
+    return print_rows(line, rows, columns);
+}
+
+/// Most that a workspace's rate lets through in a month, at its own mix of prices.
+double ceiling_of(const configuration& config, const std::string& workspace,
+                  const usage_history& hours, double amount, std::uint64_t days)
+{
+    const auto found = config.workspaces.find(workspace);
+    double tokens = 0;
+    for (const auto& [hour, rows] : hours)
+    {
+        for (const auto& [key, counters] : rows)
+        {
+            tokens +=
+                key.workspace == workspace
+                    ? static_cast<double>(counters.prompt_tokens + counters.output_tokens)
+                    : 0;
+        }
+    }
+    if (found == config.workspaces.end() || tokens <= 0)
+    {
+        return 0;
+    }
+    const double most = found->second.rate * seconds_per_day * static_cast<double>(days) +
+                        found->second.burst;
+    return most * amount / tokens;
+}
+
+std::map<std::string, std::vector<hourly_amount>>
+amounts_by_workspace(const usage_history& hours, const configuration& config)
+{
+    std::map<std::string, std::vector<hourly_amount>> amounts;
+    for (const auto& [hour, rows] : hours)
+    {
+        for (const auto& [key, counters] : rows)
+        {
+            const auto price = config.prices.find(key.pool);
+            if (price != config.prices.end())
+            {
+                amounts[key.workspace].push_back(
+                    {hour, price_of(counters, price->second)});
+            }
+        }
+    }
+    return amounts;
+}
+
+json to_row(const std::string& workspace, const month_forecast& made)
+{
+    return {{"month", made.month.to_string()},
+            {"workspace", workspace},
+            {"amount", made.amount},
+            {"low_80", made.low},
+            {"high_80", made.high},
+            {"spent", made.spent},
+            {"limited", made.limited},
+            {"days_of_history", made.days_known},
+            {"days_used", made.days_used},
+            {"shape", to_string(made.shape)},
+            {"weekly", made.weekly}};
+}
+
+int show_forecast(const command_line& line)
+{
+    const auto config = read_configuration(line);
+    const auto history =
+        config ? read_forecast_history(line) : tl::unexpected<error>(config.error());
+    if (!history)
+    {
+        return report(history.error());
+    }
+    const auto month =
+        month_of(line, calendar_month::of_day(history->now / hours_per_day).next());
+    if (!month)
+    {
+        return report(month.error());
+    }
+    json rows = json::array();
+    bool refused = false;
+    for (const auto& [workspace, amounts] : amounts_by_workspace(history->hours, *config))
+    {
+        if (!line.option("workspace").empty() && line.option("workspace") != workspace)
+        {
+            continue;
+        }
+        double spent = 0;
+        for (const hourly_amount& item : amounts)
+        {
+            spent += item.amount;
+        }
+        const double ceiling =
+            ceiling_of(*config, workspace, history->hours, spent, month->days());
+        const auto made = forecast_month(amounts, {*month, history->now, ceiling});
+        if (!made)
+        {
+            std::cerr << workspace << ": " << made.error().to_string() << '\n';
+            refused = true;
+            continue;
+        }
+        rows.push_back(to_row(workspace, *made));
+    }
+    if (rows.empty())
+    {
+        return refused ? exit_code::fault
+                       : report({error_code::not_found, "forecast", "",
+                                 "there is no history of priced use"});
+    }
+    constexpr const char* columns[] = {
+        "month", "workspace", "amount",          "low_80",    "high_80",
+        "spent", "shape",     "days_of_history", "days_used", "limited"};
+    (void)print_rows(line, rows, columns);
+    return refused ? exit_code::fault : exit_code::done;
+}
+
+constexpr std::array commands{
+    command{"usage", "[--month YYYY-MM] [--workspace NAME] [--json|--csv]",
+            "show what was used and what it costs so far", 1, show_usage},
+    command{"forecast",
+            "[--month YYYY-MM] [--workspace NAME] [--history FILE] "
+            "[--json|--csv]",
+            "forecast a month's bill with an 80% interval", 1, show_forecast},
+};
+
+} // namespace
+
+std::span<const command> usage_commands() noexcept
+{
+    return commands;
+}
+
+} // namespace agateseam
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -263,12 +263,12 @@
         call.step = "decode";
         call.silent_timeout = this->context->settings.limits.silence;
         call.total_timeout = this->context->settings.limits.request;
+        this->meter.sent(this->attempt, this->decode_vm, this->delivered);
         call.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
             {std::string(headers::attempt), to_text(order)},
             this->context->telemetry->stamp_header()};
         call.body = this->body;
-        this->meter.sent(this->attempt, this->decode_vm, this->delivered);
         this->start_call(std::move(call));
     }
 
--- a/src/daemon/telemetry.hpp
+++ b/src/daemon/telemetry.hpp
@@ -63,10 +63,4 @@
     [[nodiscard]] std::string status() const;
 };
 
-/// \brief Returns an event as a JSON object, as /events shows it on a line.
-[[nodiscard]] nlohmann::json to_json(const event& item);
-
-/// \brief Reads what to_json made; `invalid` when it is malformed.
-[[nodiscard]] result<event> parse_event(std::string_view line);
-
 } // namespace agateseam
--- /dev/null
+++ b/tests/process/metrics_test.py
@@ -0,0 +1,74 @@
+"""The metrics page of every process: the four measures, and counts that agree with what
+callers saw."""
+
+import json
+import os
+import subprocess
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "../../scripts/lib"))
+from fleet import Fleet, http  # noqa: E402
+
+MEASURES = ("agateseam_goodput_requests_total", "agateseam_wasted_prefill_tokens_total",
+            "agateseam_worst_workspace_served_ratio",
+            "agateseam_refused_inside_rate_total")
+
+
+def read(url):
+    """Returns the samples of a page by name with labels."""
+    samples = {}
+    for line in http("GET", url + "/metrics")[2].decode().splitlines():
+        if not line.startswith("#"):
+            name, value = line.rsplit(" ", 1)
+            samples[name] = float(value)
+    return samples
+
+
+def total(pages, name):
+    return sum(page.get(name, 0) for page in pages)
+
+
+def check(name, holds, seen=""):
+    print(("ok   " if holds else "FAIL ") + name, seen, flush=True)
+    return 0 if holds else 1
+
+
+def main():
+    build = sys.argv[1]
+    failures = 0
+    with Fleet(build, os.path.join(build, "metrics_test"), entries=2, prefill=2, decode=2,
+               services=1) as fleet:
+        fleet.configure(("dune", "oshana"))
+        path = os.path.join(fleet.directory, "addresses.json")
+        with open(path, "w") as file:
+            json.dump({"entries": fleet.entry_urls(), "keys": fleet.keys}, file)
+        before = [read(url) for url in fleet.entry_urls()]
+        done = subprocess.run([fleet.program("load"), "--addresses", path, "--requests",
+                               "60", "--booking-share", "0", "--concurrency", "8"],
+                              capture_output=True, text=True, timeout=60, check=True)
+        outcome = json.loads(done.stdout)
+        pages = [read(url) for url in fleet.entry_urls()]
+        for measure in MEASURES:
+            failures += check(measure + " is there", all(
+                any(name.startswith(measure) for name in page) for page in pages))
+        whole = 'agateseam_requests_ended_total{end="whole"}'
+        grown = total(pages, whole) - total(before, whole)
+        failures += check("whole answers agree", grown == outcome["whole"],
+                          (grown, outcome["whole"]))
+        tokens = (total(pages, "agateseam_output_tokens_total") -
+                  total(before, "agateseam_output_tokens_total"))
+        failures += check("output tokens agree", tokens == outcome["output_tokens"],
+                          (tokens, outcome["output_tokens"]))
+        waits = total(pages, "agateseam_first_token_seconds_count")
+        failures += check("every first token was timed", waits >= outcome["whole"], waits)
+        agents = [read(fleet.agent_url(name)) for name, _, _ in fleet.agents]
+        failures += check("agents show prefilled tokens",
+                          total(agents, "agateseam_prefill_tokens_total") > 0)
+        failures += check("no request is left open",
+                          total(pages, "agateseam_requests_open") == 0)
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
