--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -16,6 +16,18 @@
 
 constexpr int status_ok = 200;
 
+/// Tells whether an engine's id for an answer was made of a request's id.
+bool names_request(std::string_view text, std::string_view id) noexcept
+{
+    const std::size_t at = text.find(id);
+    if (at == std::string_view::npos)
+    {
+        return false;
+    }
+    const std::string_view rest = text.substr(at + id.size());
+    return rest.empty() || rest.front() < '0' || rest.front() > '9';
+}
+
 /// One decode order: waits for a slot, then holds it until its end.
 class decode_attempt final : public heartbeat_listener,
                              public slot_owner,
@@ -64,10 +76,11 @@
             this->refuse(queued.error());
             return;
         }
-        this->exchange->begin_stream(status_ok,
-                                     {{"Content-Type", "text/event-stream"},
-                                      this->context->load_header(),
-                                      this->context->telemetry->stamp_header()});
+        this->exchange->begin_stream(
+            status_ok, {{"Content-Type", "text/event-stream"},
+                        {std::string(headers::answer), to_text(this->order.id)},
+                        this->context->load_header(),
+                        this->context->telemetry->stamp_header()});
         const std::weak_ptr<decode_attempt> weak = this->weak_from_this();
         this->exchange->on_gone(
             [weak]
@@ -150,6 +163,7 @@
         }
         else if (!outcome)
         {
+            this->context->note_backend(outcome.error());
             this->end(run_state::ran, outcome.error());
         }
         else
@@ -204,10 +218,7 @@
                             this->deadline - this->context->time.now()));
     }
 
-    [[nodiscard]] std::string engine_id() const
-    {
-        return this->order.id.request + "." + std::to_string(this->order.id.attempt);
-    }
+    [[nodiscard]] std::string engine_id() const { return to_text(this->order.id); }
 
     /// Starts the next call, unless the relay has gone meanwhile.
     template <typename Start>
@@ -320,18 +331,17 @@
 
     void relay_chunk(const server_sent_event& event)
     {
-        const json chunk = json::parse(event.data);
+        json chunk = json::parse(event.data);
+        if (this->crossed(chunk))
+        {
+            ++this->context->events_dropped;
+            return;
+        }
         const json usage = chunk.value("usage", json());
         const json choices = chunk.value("choices", json::array());
         if (!choices.empty())
         {
-            if (carries_token(choices[0]))
-            {
-                this->count_token();
-                this->meter.token(true);
-            }
-            const std::string number = std::to_string(this->delivered);
-            this->exchange->write(to_text({"", number, event.data}));
+            this->relay_choice(chunk, choices[0]);
         }
         if (usage.is_object())
         {
@@ -339,6 +349,39 @@
         }
     }
 
+    /// Tells whether a chunk answers another request.
+    [[nodiscard]] bool crossed(const json& chunk) const
+    {
+        return this->context->settings.backend.echoes_request_id &&
+               !names_request(chunk.value("id", ""), this->engine_id());
+    }
+
+    /// One id stands over the whole answer, also after a resumption.
+    void relay_choice(json& chunk, const json& choice)
+    {
+        const bool token = carries_token(choice);
+        const bool last = choice.value("finish_reason", json()).is_string();
+        if (!token && !last && this->order.resume_from > 0)
+        {
+            return;
+        }
+        if (token)
+        {
+            this->count_token();
+            this->meter.token(true);
+        }
+        chunk["id"] = this->order.id.request;
+        const std::string_view name = last ? "finish" : "";
+        const std::string number = token ? this->event_id() : "";
+        this->exchange->write(to_text({name, number, chunk.dump()}));
+    }
+
+    [[nodiscard]] std::string event_id() const
+    {
+        return std::to_string(this->order.id.attempt) + "." +
+               std::to_string(this->delivered);
+    }
+
     void count_token()
     {
         this->last_token = this->context->time.now();
@@ -352,8 +395,7 @@
     {
         usage["prompt_tokens_details"] =
             this->prefill_usage.value("prompt_tokens_details", json::object());
-        const std::string number = std::to_string(this->delivered);
-        this->exchange->write(to_text({"usage", number, usage.dump()}));
+        this->exchange->write(to_text({"usage", "", usage.dump()}));
     }
 
     [[nodiscard]] static bool carries_token(const json& choice)
@@ -372,6 +414,10 @@
         http_client::call_id running = 0;
         {
             const std::scoped_lock hold(this->mutex);
+            if (this->given_up)
+            {
+                return;
+            }
             this->given_up = true;
             running = this->call;
         }
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -1,5 +1,6 @@
 #include <daemon/daemon.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <thread>
@@ -10,6 +11,7 @@
 #include <daemon/config_controller.hpp>
 #include <daemon/entry_context.hpp>
 #include <daemon/member_controller.hpp>
+#include <daemon/renewal_controller.hpp>
 #include <daemon/usage_collector.hpp>
 #include <daemon/usage_controller.hpp>
 
@@ -28,8 +30,10 @@
     {
     }
 
+    /// Ends callers' connections first, so that what was logged as cut is cut.
     ~entry() override
     {
+        this->server.reset();
         {
             const std::scoped_lock hold(this->mutex);
             this->stopping = true;
@@ -40,12 +44,12 @@
             this->operator_worker.join();
         }
         this->usage.reset();
+        this->renewals.reset();
         this->config.reset();
         this->members.reset();
         this->server.reset();
         this->collector.reset();
         this->context->claims->stop();
-        this->context->renewer->stop();
         this->context->client.reset();
     }
     entry(const entry&) = delete;
@@ -59,6 +63,9 @@
                                                             *this->context->store);
         this->context->telemetry->gauges = [shared = this->context.get()]
         { return shared->gauges(); };
+        this->context->telemetry->role_metrics = [shared = this->context.get()]
+        { return to_text(shared->counters); };
+        this->renewals = std::make_unique<renewal_controller>(*this->context);
         this->operator_worker = std::thread([this] { this->serve_operators(); });
         auto created = http_server::create(this->context->settings.listen, *this);
         if (!created)
@@ -76,9 +83,20 @@
         return this->server->port();
     }
 
-    void drain() override { this->context->leaving = true; }
+    void drain() override
+    {
+        this->context->leaving = true;
+        this->server->close_after_answers();
+    }
+
+    void stop_listening() override { this->server->quiesce(); }
 
-    [[nodiscard]] std::size_t open_work() const override { return this->context->open; }
+    /// A request counts until its answer's last byte has been handed to the system.
+    [[nodiscard]] std::size_t open_work() const override
+    {
+        const std::size_t requests = this->context->open;
+        return std::max(requests, this->server->open_exchanges());
+    }
 
     void handle(std::shared_ptr<http_exchange> exchange) override
     {
@@ -219,6 +237,7 @@
     std::unique_ptr<member_controller> members;
     std::unique_ptr<usage_collector> collector;
     std::unique_ptr<usage_controller> usage;
+    std::unique_ptr<renewal_controller> renewals;
     std::unique_ptr<http_server> server;
     std::mutex mutex;
     std::condition_variable wake;
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -14,11 +14,13 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
+#include <agateseam/retry_budget.hpp>
 #include <agateseam/static_admission.hpp>
 #include <daemon/config_peers.hpp>
 #include <daemon/key_watch.hpp>
-#include <daemon/lease_renewer.hpp>
 #include <daemon/messages.hpp>
+#include <daemon/open_attempts.hpp>
+#include <daemon/path_counters.hpp>
 #include <daemon/settings.hpp>
 #include <daemon/telemetry.hpp>
 #include <net/http_client.hpp>
@@ -93,7 +95,9 @@
     key_watch keys;
     std::unique_ptr<static_admission> allowance;
     std::unique_ptr<placement> placer;
-    std::unique_ptr<lease_renewer> renewer;
+    std::unique_ptr<retry_budget> retries;
+    open_attempts attempts;
+    path_counters counters;
     std::atomic<duration::rep> admit_until{0}; ///< Monotonic; 0 before the first check.
     std::atomic<bool> leaving{false};
     std::atomic<std::size_t> open{0}; ///< Requests under way.
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -33,6 +33,7 @@
     double link_tokens_per_second = 400'000;    ///< KV cache that the link carries.
     std::uint64_t kv_bytes_per_token = 131'072; ///< KV cache of one prompt token.
     bool checks_generation = true;              ///< Whether it refuses old orders itself.
+    bool echoes_request_id = true; ///< Whether its answers' ids contain ours.
 };
 
 /// \brief Limits on what callers may do and how long things may take.
@@ -40,11 +41,16 @@
 {
     std::chrono::milliseconds request{120'000}; ///< From admission to the last byte.
     std::chrono::milliseconds first_token{30'000};
-    std::chrono::milliseconds silence{2'000};      ///< Of a stream between our processes.
-    std::chrono::milliseconds drain{30'000};       ///< From SIGTERM to the end.
+    std::chrono::milliseconds silence{2'000}; ///< Of a stream between our processes.
+    std::chrono::milliseconds drain{30'000};  ///< From SIGTERM to the end.
+    std::uint32_t members = 64;          ///< Agents that an entry keeps in touch with.
+    std::uint32_t heartbeats = 40;       ///< Calls for load a second, over all agents.
+    std::uint32_t attempts = 3;          ///< Tries of one request.
+    std::uint32_t output_tokens = 4'096; ///< Cap on a request's max_tokens.
     std::chrono::milliseconds usage_flush{60'000}; ///< Between flushes of usage.
-    std::uint32_t attempts = 3;                    ///< Tries of one request.
-    std::uint32_t output_tokens = 4'096;           ///< Cap on a request's max_tokens.
+    std::chrono::milliseconds lease{3'000};        ///< Of an attempt that is not renewed.
+    std::chrono::milliseconds linger{3'000};       ///< Listening on after SIGTERM.
+    double retry_ratio = 0.2;                      ///< Retries that a request earns.
 };
 
 /// \brief Everything a daemon is told at start.
--- a/src/daemon/slot_service.cpp
+++ b/src/daemon/slot_service.cpp
@@ -99,6 +99,26 @@
     }
 }
 
+void slot_service::end(const attempt_id& id)
+{
+    std::shared_ptr<slot_owner> owner;
+    {
+        const std::scoped_lock hold(this->mutex);
+        const auto found = this->owners.find(id);
+        if (found != this->owners.end())
+        {
+            owner = found->second.owner.lock();
+        }
+    }
+    if (owner)
+    {
+        slot_event ended;
+        ended.id = id;
+        ended.kind = slot_event_kind::lapsed;
+        owner->on_slot(ended);
+    }
+}
+
 void slot_service::drain()
 {
     const std::scoped_lock hold(this->mutex);
