Promise slots that are likely free in time, to workspaces within their share

Cause: most refusals were for slots that free too late, while slots sat idle during the prefills for them; one ratio of lead to prompt took every wait for the prompt's length; three tries left engines unasked.

Change: the decode scheduler promises a used slot when enough uses end in time with 90 % chance, and only to a workspace that holds less than its max-min share; answer lengths are learned as a distribution, the lead as a line; six tries of a request (settings default 3 to 6).

--- a/bench/policy_agents.cpp
+++ b/bench/policy_agents.cpp
@@ -312,8 +312,7 @@
         const double got = request.resumed + (this->events.now() - request.decode_begin) /
                                                  this->plan->token_gap;
         const std::uint32_t limit = this->plan->output_limit;
-        const double expected =
-            std::max(1.0, agent.estimator->output_tokens(limit) - got);
+        const double expected = agent.estimator->remaining_tokens(limit, got);
         agent.scheduler.progress(id_of(request), agent.estimator->output_time(expected),
                                  agent.estimator->output_time(limit - got),
                                  this->events.now_point());
--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-constexpr std::uint32_t most_attempts = 3;
+constexpr std::uint32_t most_attempts = 6;
+constexpr double promise_risk = 0.1;
 constexpr double renew_interval = 1; // seconds
 constexpr double silence_limit = 2;  // seconds
 
@@ -27,6 +28,7 @@
     scheduler_options options;
     options.slots = prefill ? 1 : plan.slots;
     options.kv_lifetime = to_span(kv_lifetime);
+    options.promise_risk = prefill ? 0 : promise_risk;
     return options;
 }
 
--- a/include/agateseam/agent_scheduler.hpp
+++ b/include/agateseam/agent_scheduler.hpp
@@ -22,6 +22,7 @@
     std::uint32_t queue_limit = 256;                     ///< Attempts that may wait.
     duration lease_lifetime = std::chrono::seconds(3);   ///< Without a renewal.
     duration kv_lifetime = std::chrono::milliseconds(0); ///< Of a prefill's result.
+    double promise_risk = 0; ///< Chance, at most, that a promised slot comes too late.
 };
 
 /// \brief A wish for a slot.
@@ -69,8 +70,9 @@
 /// \brief Grants slots in fair order, each as a lease that ends unless it is renewed.
 ///
 /// An attempt waits, is granted a slot (its lead work, such as a prefill, may begin),
-/// starts to run and is released. A grant may name a slot that is still in use when that
-/// use is sure to end within the lead, so that prefill and slot meet. Never more than
+/// starts to run and is released. A grant may name a slot that is still in use when some
+/// use is sure to end within the lead, or likely enough to end while the result of the
+/// lead lives, so that prefill and slot meet. Never more than
 /// `slots` attempts run.
 ///
 /// \remarks Takes the time as an argument and does no I/O. Not safe from several threads.
@@ -155,6 +157,8 @@
     void run(record& item, time_point now, std::vector<slot_event>& events);
     [[nodiscard]] std::vector<time_point> expected_ends(time_point now) const;
     [[nodiscard]] time_point sure_slot(time_point now) const;
+    [[nodiscard]] bool is_within_share(const record& head) const;
+    [[nodiscard]] bool slot_is_likely(const record& head, time_point now) const;
     [[nodiscard]] time_point grant_time(const record& head, time_point now) const;
     [[nodiscard]] std::vector<forecast> rehearse(time_point now) const;
     [[nodiscard]] time_point next_expected_slot(time_point now) const;
--- a/include/agateseam/work_estimator.hpp
+++ b/include/agateseam/work_estimator.hpp
@@ -1,6 +1,7 @@
 /// Learns how long work takes at one backend server.
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 
@@ -32,15 +33,30 @@
     [[nodiscard]] duration output_time(double tokens) const noexcept;
 
     /// \brief Returns how many tokens an answer is thought to have, 1 at least.
-    [[nodiscard]] double output_tokens(std::uint32_t limit) const noexcept;
+    [[nodiscard]] double output_tokens(std::uint32_t limit) const noexcept
+    {
+        return this->remaining_tokens(limit, 0);
+    }
+
+    /// \brief Returns how many tokens are thought to follow, 1 at least.
+    /// \param got Tokens that the answer has already.
+    [[nodiscard]] double remaining_tokens(std::uint32_t limit, double got) const noexcept;
 
     /// \brief Returns how long prefill and transfer are thought to take.
     [[nodiscard]] duration lead(std::uint32_t tokens) const noexcept;
 
   private:
-    std::atomic<double> gap;               ///< Nanoseconds a token.
-    std::atomic<double> lead_rate;         ///< Nanoseconds a token.
-    std::atomic<double> output_share{1.0}; ///< Of the limit.
+    static constexpr std::size_t share_count = 20;
+
+    std::atomic<double> gap; ///< Nanoseconds a token.
+    double first_lead_rate;  ///< Nanoseconds a token, before anything was noted.
+    // Averages of the leads noted, in tokens and nanoseconds.
+    std::atomic<double> lead_tokens{0};
+    std::atomic<double> lead_time{0};
+    std::atomic<double> lead_tokens_squared{0};
+    std::atomic<double> lead_product{0};
+    /// Answers by the share of their limit that they used.
+    std::array<std::atomic<std::uint32_t>, share_count> shares{};
 };
 
 } // namespace agateseam
--- a/src/core/agent_scheduler.cpp
+++ b/src/core/agent_scheduler.cpp
@@ -1,8 +1,6 @@
 #include <agateseam/agent_scheduler.hpp>
 
 #include <algorithm>
-#include <functional>
-#include <queue>
 
 namespace agateseam
 {
@@ -12,17 +10,7 @@
 
 constexpr std::string_view step_name = "reserve slot";
 constexpr duration shortest_retry = std::chrono::milliseconds(20);
-
-/// Slots by the time at which each is free, the earliest first.
-using slot_heap =
-    std::priority_queue<time_point, std::vector<time_point>, std::greater<>>;
-
-time_point take_earliest(slot_heap& slots)
-{
-    const time_point earliest = slots.top();
-    slots.pop();
-    return earliest;
-}
+constexpr duration promise_interval = std::chrono::milliseconds(50); // between looks
 
 } // namespace
 
@@ -149,6 +137,8 @@
     if (const auto head = this->queue.front())
     {
         next = std::min(next, this->grant_time(this->records.at(*head), now));
+        const bool promises = this->options.promise_risk > 0;
+        next = promises ? std::min(next, now + promise_interval) : next;
     }
     return std::max(next, now);
 }
@@ -198,117 +188,6 @@
                       error_code::internal});
 }
 
-/// When each slot is thought to be free, reserved ones after their use.
-std::vector<time_point> agent_scheduler::expected_ends(time_point now) const
-{
-    std::vector<time_point> ends;
-    ends.reserve(this->options.slots);
-    std::vector<duration> owed;
-    for (const auto& [id, item] : this->records)
-    {
-        if (item.state == phase::running)
-        {
-            ends.push_back(std::max(now, item.expected_end));
-        }
-        else if (item.state != phase::waiting)
-        {
-            const bool leads = item.state == phase::reserved;
-            owed.push_back(item.request.expected +
-                           (leads ? item.request.lead : duration{0}));
-        }
-    }
-    ends.resize(std::max<std::size_t>(ends.size(), this->options.slots), now);
-    slot_heap slots(std::greater<>{}, std::move(ends));
-    for (const duration use : owed)
-    {
-        slots.push(take_earliest(slots) + use);
-    }
-    std::vector<time_point> free;
-    free.reserve(slots.size());
-    while (!slots.empty())
-    {
-        free.push_back(take_earliest(slots));
-    }
-    return free;
-}
-
-/// The time by which one more slot is free whatever happens, as far as is known.
-time_point agent_scheduler::sure_slot(time_point now) const
-{
-    const std::size_t promised =
-        this->count(phase::reserved) + this->count(phase::arriving);
-    const std::size_t idle = this->options.slots - this->count(phase::running);
-    if (promised < idle)
-    {
-        return now;
-    }
-    std::vector<time_point> ends;
-    for (const auto& [id, item] : this->records)
-    {
-        if (item.state == phase::running && item.latest_end >= now)
-        {
-            ends.push_back(item.latest_end);
-        }
-    }
-    const std::size_t index = promised - idle;
-    if (index >= ends.size())
-    {
-        return time_point::max();
-    }
-    std::nth_element(ends.begin(), ends.begin() + static_cast<std::ptrdiff_t>(index),
-                     ends.end());
-    return ends[index];
-}
-
-/// When the head of the queue may be granted: slot and link both meet its end.
-time_point agent_scheduler::grant_time(const record& head, time_point now) const
-{
-    const time_point slot = this->sure_slot(now);
-    if (slot == time_point::max())
-    {
-        return slot;
-    }
-    const time_point link = this->link_free - this->options.kv_lifetime / 2 -
-                            head.request.lead - head.request.expected;
-    const bool linked = head.request.transfer > duration{0};
-    return std::max(slot - head.request.lead, linked ? link : time_point::min());
-}
-
-std::vector<agent_scheduler::forecast> agent_scheduler::rehearse(time_point now) const
-{
-    slot_heap slots(std::greater<>{}, this->expected_ends(now));
-    time_point link = this->link_free;
-    std::vector<forecast> starts;
-    for (const attempt_id& id : this->queue.order())
-    {
-        const slot_request& request = this->records.at(id).request;
-        time_point start = std::max(slots.top(), now + request.lead);
-        if (request.transfer > duration{0})
-        {
-            start =
-                std::max(start, link - this->options.kv_lifetime / 2 - request.expected);
-            link = std::max(link, start + request.expected) + request.transfer;
-        }
-        starts.push_back({id, start});
-        if (start <= request.deadline)
-        {
-            slots.pop();
-            slots.push(start + request.expected);
-        }
-    }
-    return starts;
-}
-
-time_point agent_scheduler::next_expected_slot(time_point now) const
-{
-    slot_heap slots(std::greater<>{}, this->expected_ends(now));
-    for (const attempt_id& id : this->queue.order())
-    {
-        slots.push(take_earliest(slots) + this->records.at(id).request.expected);
-    }
-    return slots.top();
-}
-
 void agent_scheduler::end_lapsed(time_point now, std::vector<slot_event>& events)
 {
     std::vector<attempt_id> lapsed;
--- a/src/daemon/agent_context.cpp
+++ b/src/daemon/agent_context.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds first_token_gap{39}; ///< Until answers were observed.
 constexpr milliseconds kv_lifetime{900};    ///< Of a prefill's result at its engine.
 constexpr std::uint32_t prefill_slots = 1;  ///< An engine prefills one after another.
+constexpr double promise_risk = 0.1;        ///< Of a slot that is promised in use.
 constexpr milliseconds engine_timeout{2'000};
 constexpr int status_ok = 200;
 
@@ -25,6 +26,7 @@
     options.slots = prefill ? prefill_slots : backend.slots;
     options.queue_limit = backend.queue_limit;
     options.kv_lifetime = kv_lifetime;
+    options.promise_risk = prefill ? 0 : promise_risk;
     return options;
 }
 
--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -103,7 +103,7 @@
         if (got > this->order.resume_from && got < limit)
         {
             const work_estimator& estimator = this->context->estimator;
-            const double expected = std::max(1.0, estimator.output_tokens(limit) - got);
+            const double expected = estimator.remaining_tokens(limit, got);
             this->context->slots->progress(this->order.id,
                                            estimator.output_time(expected),
                                            estimator.output_time(limit - got));
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -111,7 +111,7 @@
         milliseconds(section.integer("first_token_ms", 10, longest_ms, 30'000));
     limits.silence = milliseconds(section.integer("silence_ms", 200, longest_ms, 2'000));
     limits.drain = milliseconds(section.integer("drain_ms", 0, longest_ms, 30'000));
-    limits.attempts = static_cast<std::uint32_t>(section.integer("attempts", 1, 10, 3));
+    limits.attempts = static_cast<std::uint32_t>(section.integer("attempts", 1, 10, 6));
     limits.output_tokens =
         static_cast<std::uint32_t>(section.integer("output_tokens", 1, 1'000'000, 4'096));
 }
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -41,7 +41,7 @@
     std::chrono::milliseconds first_token{30'000};
     std::chrono::milliseconds silence{2'000}; ///< Of a stream between our processes.
     std::chrono::milliseconds drain{30'000};  ///< From SIGTERM to the end.
-    std::uint32_t attempts = 3;               ///< Tries of one request.
+    std::uint32_t attempts = 6;               ///< Tries of one request.
     std::uint32_t output_tokens = 4'096;      ///< Cap on a request's max_tokens.
 };
 
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -277,3 +277,49 @@
         });
     CHECK(held);
 }
+
+namespace
+{
+
+/// All eight slots in use by "rich"; each is thought to end within half a second.
+agent_scheduler make_busy(double risk)
+{
+    scheduler_options options;
+    options.slots = 8;
+    options.kv_lifetime = milliseconds(900);
+    options.promise_risk = risk;
+    auto scheduler = *agent_scheduler::create(options);
+    for (int number = 0; number < 8; ++number)
+    {
+        slot_request request = make_request("rich" + std::to_string(number), "rich");
+        request.expected = milliseconds(400);
+        request.longest = seconds(9);
+        REQUIRE(scheduler.submit(request, epoch));
+        (void)scheduler.advance(epoch);
+        REQUIRE(scheduler.start(request.id, epoch));
+        (void)scheduler.advance(epoch);
+    }
+    REQUIRE(scheduler.load().running == 8);
+    return scheduler;
+}
+
+} // namespace
+
+TEST_CASE("a slot in use is promised when it is likely to be free in time")
+{
+    auto eager = make_busy(0.1);
+    REQUIRE(eager.submit(make_request("small", "small"), epoch));
+    CHECK(has(eager.advance(epoch), slot_event_kind::granted, "small"));
+    auto careful = make_busy(0);
+    REQUIRE(careful.submit(make_request("small", "small"), epoch));
+    CHECK(careful.advance(epoch).empty());
+}
+
+TEST_CASE("a workspace that holds its share or more is promised nothing")
+{
+    auto scheduler = make_busy(0.1);
+    REQUIRE(scheduler.submit(make_request("more", "rich"), epoch));
+    CHECK(scheduler.advance(epoch).empty());
+    scheduler.release({"rich0", 1}, 100);
+    CHECK(has(scheduler.advance(epoch), slot_event_kind::granted, "more"));
+}
