--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -14,6 +14,31 @@
 class clock_source;
 class steady_clock_source;
 class manual_clock;
+struct hybrid_time;
+class hybrid_clock;
+
+// Events.
+enum class event_kind : std::uint8_t;
+struct event_note;
+struct event;
+class event_log;
+
+// Usage.
+struct usage_counters;
+struct usage_key;
+struct usage_batch;
+struct usage_receipt;
+class usage_meter;
+class usage_outbox;
+class usage_hour;
+class usage_ledger;
+
+// Metrics.
+class metric_counter;
+class metric_quantiles;
+class metric_writer;
+struct workspace_service;
+class service_watch;
 
 // Shared state.
 template <typename T>
@@ -33,6 +58,41 @@
 class static_admission;
 class allowance;
 
+// Claims on calls that may not be repeated.
+enum class claim_verdict : std::uint8_t;
+struct call_outcome;
+struct claim_order;
+struct claim_answer;
+struct claim_ledger_options;
+class claim_shard;
+class claim_ledger;
+struct share_account;
+struct share_line;
+struct share_report;
+struct share_grant;
+struct share_answer;
+struct share_census;
+struct share_census_answer;
+struct share_record;
+struct share_options;
+class share_home;
+class share_holder;
+class share_node;
+class share_transport;
+
+// The numbered configuration.
+struct configuration;
+struct config_change;
+struct config_state;
+struct config_patch;
+struct patch_outcome;
+class config_store;
+struct peer_record;
+struct peer_word;
+struct config_step;
+struct config_relay_options;
+class config_relay;
+
 // Requests.
 enum class run_state : std::uint8_t;
 enum class backend_kind : std::uint8_t;
--- a/src/daemon/config_controller.hpp
+++ b/src/daemon/config_controller.hpp
@@ -1,11 +1,10 @@
-/// Keeps the blackboard's configuration as new as the store's, and applies patches.
+/// Keeps the blackboard's configuration as new as the store's and the peers'.
 #pragma once
 
 #include <atomic>
-#include <cstdint>
+#include <condition_variable>
 #include <memory>
-#include <string>
-#include <string_view>
+#include <mutex>
 #include <thread>
 
 #include <daemon/entry_context.hpp>
@@ -13,29 +12,7 @@
 namespace agateseam
 {
 
-/// The store's key of the configuration.
-inline constexpr std::string_view config_key = "config/main";
-
-/// \brief The configuration as the store holds it.
-struct stored_configuration
-{
-    std::uint64_t number = 0;
-    std::string patch_id;      ///< Of the patch that made it.
-    std::string document;      ///< JSON text.
-    std::uint64_t version = 0; ///< The object's version in the store.
-};
-
-/// \brief Reads the configuration; an empty one with number 0 when there is none yet.
-[[nodiscard]] result<stored_configuration> read_configuration(object_store& store);
-
-/// \brief Applies a JSON merge patch made against a number.
-/// \returns the new configuration; `conflict` when the number is stale, `invalid` with
-/// every fault when the result breaks a rule.
-[[nodiscard]] result<stored_configuration>
-patch_configuration(object_store& store, std::uint64_t against, std::string_view patch_id,
-                    std::string_view merge_patch);
-
-/// \brief Watches the configuration on a thread of its own.
+/// \brief Follows the store or a peer, as the relay decides, and probes other peers.
 class config_controller
 {
   public:
@@ -45,12 +22,22 @@
     config_controller& operator=(const config_controller&) = delete;
 
   private:
-    void run();
-    void take(const object_record& record);
+    void follow();
+    void probe();
+    [[nodiscard]] bool follow_store();
+    [[nodiscard]] bool ask(const peer_record& peer, std::chrono::milliseconds wait);
+    [[nodiscard]] bool take(config_state state);
+    void renew_admission();
 
     entry_context* context;
-    std::atomic<bool> stopping{false};
-    std::thread worker;
+    std::unique_ptr<config_store> configs;
+    std::uint64_t version = 0; ///< Of the index object that was read last.
+    std::mutex taking;         ///< One state is taken at a time.
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool stopping = false; ///< Guarded by the mutex.
+    std::thread follower;
+    std::thread prober;
 };
 
 } // namespace agateseam
