Cache index: what an engine has just used is there

Cause: after a lost event the index forgot all, and blocks that stay in use cause no more events, so the hottest preambles were thought uncached and their prefills refused. Change: after each prefill its whole chain is confirmed.

--- a/bench/policy_agents.cpp
+++ b/bench/policy_agents.cpp
@@ -214,6 +214,7 @@
                            modelled_agent& source = this->agents[prefill];
                            source.scheduler.release(id, computed);
                            source.owners.erase(id);
+                           source.index.confirm(request.trace->blocks);
                            this->drive(prefill);
                            request.prefill_end = this->events.now();
                            this->events.after(
--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -150,7 +150,8 @@
     if (!choice)
     {
         request.open = false;
-        request.outcome->refusal = "no_agent";
+        request.outcome->refusal =
+            request.last_refusal.empty() ? "no_agent" : request.last_refusal;
         return;
     }
     this->prefer_session(*choice, entry, request);
@@ -203,6 +204,7 @@
         return;
     }
     request.excluded.push_back(vm);
+    request.last_refusal = reason;
     const bool late =
         request.delivered == 0 && this->events.now() > this->latest_start(request);
     if (request.attempt >= most_attempts || late)
--- a/bench/policy_run.hpp
+++ b/bench/policy_run.hpp
@@ -33,6 +33,7 @@
     double prefill_end = 0;   ///< When its result was ready.
     double decode_begin = -1; ///< When its first token was due; below 0 before.
     std::vector<std::string> excluded;
+    std::string last_refusal;
 };
 
 /// \brief An agent with its engine.
--- a/include/agateseam/cache_index.hpp
+++ b/include/agateseam/cache_index.hpp
@@ -19,8 +19,9 @@
 
 /// \brief Follows an engine's cache events, which come late and with gaps.
 ///
-/// After a gap it claims nothing until blocks are seen again: a block thought to be there
-/// that is not costs a prefill's estimate, a missed one only a saving.
+/// After a gap it claims nothing until blocks are seen again or confirmed by use: a block
+/// thought to be there that is not costs a prefill's estimate, a missed one only a
+/// saving.
 ///
 /// \remarks Not safe from several threads.
 class cache_index
@@ -32,6 +33,11 @@
     /// for this event. Old and repeated events change nothing.
     bool apply(std::uint64_t sequence, cache_event_kind kind, std::uint64_t block);
 
+    /// \brief Notes that the engine has just used a chain, so holds all of it.
+    ///
+    /// Blocks that stay in use cause no events, so after a gap only this shows them.
+    void confirm(std::span<const std::uint64_t> chain);
+
     /// \brief Starts anew, as when the engine was restarted.
     void reset() noexcept;
 
--- a/src/core/cache_index.cpp
+++ b/src/core/cache_index.cpp
@@ -30,6 +30,11 @@
     return follows;
 }
 
+void cache_index::confirm(std::span<const std::uint64_t> chain)
+{
+    this->blocks.insert(chain.begin(), chain.end());
+}
+
 void cache_index::reset() noexcept
 {
     this->blocks.clear();
--- a/tests/unit/cache_test.cpp
+++ b/tests/unit/cache_test.cpp
@@ -55,6 +55,11 @@
     CHECK_FALSE(index.contains(10));
     CHECK(index.contains(12));
     CHECK(index.gaps() == 1);
+    const std::vector<std::uint64_t> used{10, 12};
+    index.confirm(used);
+    CHECK(index.contains(10));
+    CHECK(index.apply(5, cache_event_kind::removed, 10));
+    CHECK_FALSE(index.contains(10));
     index.reset();
     CHECK(index.size() == 0);
 }
