--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -93,7 +93,7 @@
         return tl::unexpected<error>(allowance.error());
     }
     context->allowance = std::move(*allowance);
-    context->placer = make_least_load_placement();
+    context->placer = make_weighted_placement(context->incarnation);
     auto retries = retry_budget::create(settings.limits.retry_ratio, retries_saved);
     if (!retries)
     {
