--- a/include/agateseam/share_messages.hpp
+++ b/include/agateseam/share_messages.hpp
@@ -28,7 +28,8 @@
     /// \brief Returns the tokens that the entry may still deliver.
     [[nodiscard]] token_count held() const noexcept
     {
-        return this->granted - this->delivered - this->returned;
+        const token_count gone = this->delivered + this->returned;
+        return this->granted > gone ? this->granted - gone : 0;
     }
 };
 
