--- a/include/agateseam/share_node.hpp
+++ b/include/agateseam/share_node.hpp
@@ -64,6 +64,7 @@
         std::string home;             ///< Empty while unknown.
         bool reading = false;         ///< Whether a read of the record is under way.
         time_point read_next;         ///< Before it the record isn't read again.
+        duration read_pause{0};       ///< Before the read after the next.
         std::uint64_t gone_epoch = 0; ///< Of a home that the list did not name.
         std::uint64_t gone_list = 0;  ///< The number of that list.
     };
--- a/src/core/share_node.cpp
+++ b/src/core/share_node.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr duration read_pause =
-    std::chrono::milliseconds(100); ///< Of one shard's record.
+constexpr duration least_read_pause = std::chrono::milliseconds(100);
+constexpr duration most_read_pause = std::chrono::seconds(2);
 constexpr duration refusal_wait =
     std::chrono::seconds(1); ///< When no home can be reached.
 
@@ -113,6 +113,8 @@
     if (answer->standing != share_standing::not_home)
     {
         this->note_home(shard, asked);
+        const std::scoped_lock hold(this->mutex);
+        this->routes[shard].read_pause = duration{0};
     }
     else
     {
@@ -207,7 +209,9 @@
             return;
         }
         way.reading = true;
-        way.read_next = now + read_pause;
+        way.read_pause =
+            std::clamp(2 * way.read_pause, least_read_pause, most_read_pause);
+        way.read_next = now + way.read_pause;
     }
     this->transport->read(shard, [this, shard](const auto& found)
                           { this->looked_up(shard, found); });
