--- a/bench/policy_agents.cpp
+++ b/bench/policy_agents.cpp
@@ -214,6 +214,7 @@
                            modelled_agent& source = this->agents[prefill];
                            source.scheduler.release(id, computed);
                            source.owners.erase(id);
+                           source.index.confirm(request.trace->blocks);
                            this->drive(prefill);
                            request.prefill_end = this->events.now();
                            this->events.after(
@@ -312,8 +313,7 @@
         const double got = request.resumed + (this->events.now() - request.decode_begin) /
                                                  this->plan->token_gap;
         const std::uint32_t limit = this->plan->output_limit;
-        const double expected =
-            std::max(1.0, agent.estimator->output_tokens(limit) - got);
+        const double expected = agent.estimator->remaining_tokens(limit, got);
         agent.scheduler.progress(id_of(request), agent.estimator->output_time(expected),
                                  agent.estimator->output_time(limit - got),
                                  this->events.now_point());
--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -26,6 +26,7 @@
 #include <agateseam/price.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/request.hpp>
+#include <agateseam/retry_budget.hpp>
 #include <agateseam/share_directory.hpp>
 #include <agateseam/share_holder.hpp>
 #include <agateseam/share_home.hpp>
@@ -33,6 +34,7 @@
 #include <agateseam/share_node.hpp>
 #include <agateseam/share_transport.hpp>
 #include <agateseam/static_admission.hpp>
+#include <agateseam/store_budget.hpp>
 #include <agateseam/usage.hpp>
 #include <agateseam/usage_batch.hpp>
 #include <agateseam/usage_ledger.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -56,6 +56,9 @@
 struct object_record;
 struct object_event;
 class object_store;
+enum class store_call : std::uint8_t;
+struct store_budget_options;
+class budgeted_store;
 
 // Allowances.
 struct admission_decision;
@@ -104,6 +107,7 @@
 enum class backend_kind : std::uint8_t;
 struct attempt_id;
 struct load_report;
+class retry_budget;
 
 // The work of one backend server.
 class agent_scheduler;
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -19,6 +19,7 @@
     }
     return split_api_key(header.substr(scheme.size()));
 }
+constexpr std::uint32_t retries_saved = 100;
 
 } // namespace
 
@@ -60,7 +61,15 @@
     {
         return tl::unexpected<error>(store.error());
     }
-    context->store = std::move(*store);
+    context->platform = std::move(*store);
+    store_budget_options budget;
+    budget.seed = context->incarnation;
+    auto budgeted = budgeted_store::create(*context->platform, context->time, budget);
+    if (!budgeted)
+    {
+        return tl::unexpected<error>(budgeted.error());
+    }
+    context->store = std::move(*budgeted);
     auto claims = claim_ledger::create(*context->store, context->time, {});
     if (!claims)
     {
@@ -84,9 +93,13 @@
         return tl::unexpected<error>(allowance.error());
     }
     context->allowance = std::move(*allowance);
-    context->placer = make_least_load_placement();
-    context->renewer =
-        std::make_unique<lease_renewer>(*context->client, settings.fleet_secret);
+    context->placer = make_weighted_placement(context->incarnation);
+    auto retries = retry_budget::create(settings.limits.retry_ratio, retries_saved);
+    if (!retries)
+    {
+        return tl::unexpected<error>(retries.error());
+    }
+    context->retries = std::move(*retries);
     return context;
 }
 
--- a/src/daemon/telemetry.hpp
+++ b/src/daemon/telemetry.hpp
@@ -54,8 +54,9 @@
     metric_counter usage_writes;
     metric_counter usage_write_failures;
     process_metrics metrics;
-    std::atomic<bool> store_reachable{true}; ///< By the last call made for usage.
-    std::function<process_gauges()> gauges;  ///< Set before serving begins.
+    std::atomic<bool> store_reachable{true};   ///< By the last call made for usage.
+    std::function<process_gauges()> gauges;    ///< Set before serving begins.
+    std::function<std::string()> role_metrics; ///< More of the page; set before serving.
 
   private:
     [[nodiscard]] process_gauges read_gauges() const;
@@ -63,10 +64,4 @@
     [[nodiscard]] std::string status() const;
 };
 
-/// \brief Returns an event as a JSON object, as /events shows it on a line.
-[[nodiscard]] nlohmann::json to_json(const event& item);
-
-/// \brief Reads what to_json made; `invalid` when it is malformed.
-[[nodiscard]] result<event> parse_event(std::string_view line);
-
 } // namespace agateseam
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-constexpr std::size_t read_block = 32 * 1024; // bytes
+constexpr std::size_t read_block = 32 * 1024;       // bytes
+constexpr std::size_t last_words_limit = 64 * 1024; // bytes sent out before a cut
 
 ssize_t stream_reader(void* context, std::uint64_t, char* buffer, std::size_t size)
 {
@@ -83,6 +84,11 @@
     if (this->state == phase::waiting || this->state == phase::streaming)
     {
         this->state = phase::aborted;
+        if (this->pending.size() - this->pending_offset > last_words_limit)
+        {
+            this->pending.clear();
+            this->pending_offset = 0;
+        }
         this->wake_locked();
     }
 }
@@ -132,7 +138,7 @@
     {
         MHD_add_response_header(response, name.c_str(), value.c_str());
     }
-    if (*this->closing)
+    if (this->server->closing)
     {
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     }
@@ -142,6 +148,10 @@
 MHD_Result exchange_impl::queue_or_suspend()
 {
     const std::scoped_lock hold(this->mutex);
+    if (this->state == phase::waiting && this->server->stopping)
+    {
+        return MHD_NO;
+    }
     if (this->state == phase::waiting)
     {
         this->suspended = true;
@@ -168,7 +178,7 @@
 {
     const std::scoped_lock hold(this->mutex);
     const std::size_t ready = this->pending.size() - this->pending_offset;
-    if (this->state == phase::aborted)
+    if (this->state == phase::aborted && (ready == 0 || this->gone()))
     {
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
@@ -188,6 +198,10 @@
     {
         return MHD_CONTENT_READER_END_OF_STREAM;
     }
+    if (this->server->stopping)
+    {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
     this->suspended = true;
     MHD_suspend_connection(this->connection);
     return 0;
