Load tool: open-loop rate, tenant skew, shared preambles, figures by workspace

Also: leases are renewed three times in their life instead of each second, so that a longer lease costs less.

--- a/src/daemon/renewal_controller.cpp
+++ b/src/daemon/renewal_controller.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-constexpr std::chrono::seconds renewal_interval{1};
+constexpr int renewals_in_lease = 3;
 constexpr int status_ok = 200;
 
 http_call lease_call(const entry_context& context, const std::string& address,
@@ -45,7 +45,8 @@
     std::unique_lock hold(this->mutex);
     while (!this->stopping)
     {
-        this->wake.wait_for(hold, renewal_interval);
+        this->wake.wait_for(hold,
+                            this->context->settings.limits.lease / renewals_in_lease);
         hold.unlock();
         this->renew();
         hold.lock();
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -1,20 +1,19 @@
 /// The load tool: sends seeded requests to the entries and checks every answer against
 /// what the stand-ins generate.
-#include <atomic>
-#include <condition_variable>
+#include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <iostream>
-#include <mutex>
 #include <random>
+#include <thread>
 
 #include <cxxopts.hpp>
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 #include <pcg_random.hpp>
 
-#include <daemon/server_sent_events.hpp>
-#include <fakes/answer_text.hpp>
 #include <net/http_client.hpp>
+#include <tools/load_request.hpp>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -22,6 +21,8 @@
 {
 
 using namespace agateseam;
+using load::load_outcome;
+using load::load_request;
 using json = nlohmann::json;
 using std::chrono::steady_clock;
 
@@ -37,23 +38,10 @@
     std::uint32_t prompt_bytes = 4'000; ///< Mean.
     std::uint32_t output_tokens = 40;
     std::uint64_t seed = 1;
-};
-
-/// What came of everything that was sent.
-struct load_outcome
-{
-    std::mutex mutex;
-    std::condition_variable changed;
-    std::uint32_t under_way = 0;
-    std::uint32_t sent = 0;
-    std::uint32_t whole = 0;
-    std::uint32_t cut = 0;
-    std::uint32_t crossed = 0;
-    std::uint64_t output_tokens = 0;
-    std::map<std::string, std::uint32_t> refused; ///< By code and run state.
-    std::vector<double> first_token_ms;
-    std::vector<double> token_gap_ms;
-    json bookings = json::array(); ///< Key, status and run state of each booking.
+    double rate = 0;         ///< Requests per second, sent on time; 0 waits for answers.
+    double tenant_skew = 0;  ///< Zipf exponent over the workspaces; 0 shares evenly.
+    double prefix_share = 0; ///< Prompts that begin with their workspace's preamble.
+    std::uint32_t prefix_bytes = 8'000;
 };
 
 double percentile(std::vector<double> values, double share)
@@ -68,203 +56,89 @@
     return values[std::min(index, values.size() - 1)];
 }
 
-/// Follows one request to its end and judges the answer.
-class load_request final : public http_sink
+/// Draws requests and sends them, so many at a time.
+class load_generator
 {
   public:
-    load_request(load_outcome& shared, std::string prompt, std::uint32_t limit,
-                 bool stream, std::string key)
-        : outcome(&shared)
-        , seed(fakes::prompt_seed(prompt))
-        , output_limit(limit)
-        , streamed(stream)
-        , booking_key(std::move(key))
-        , begun(steady_clock::now())
+    load_generator(const load_plan& chosen, http_client& target)
+        : plan(&chosen)
+        , client(&target)
+        , random(chosen.seed)
     {
     }
 
-    void on_head(int code, const std::vector<http_header>& head) override
+    void run(load_outcome& outcome)
     {
-        this->status = code;
-        for (const auto& [name, value] : head)
+        auto due = steady_clock::now();
+        for (std::uint32_t index = 0; index < this->plan->requests; ++index)
         {
-            if (name == "x-agateseam-run")
+            if (this->plan->rate > 0)
             {
-                this->run = value;
+                std::this_thread::sleep_until(due);
+                due += this->draw_gap();
             }
+            this->begin(outcome);
+            this->send(index, outcome);
         }
+        std::unique_lock hold(outcome.mutex);
+        outcome.changed.wait(hold, [&] { return outcome.under_way == 0; });
     }
 
-    [[nodiscard]] bool on_data(std::string_view data) override
+  private:
+    [[nodiscard]] double draw()
     {
-        if (!this->streamed || this->status != 200)
-        {
-            this->body.append(data);
-            return true;
-        }
-        this->events.feed(data);
-        while (const auto event = this->events.next())
-        {
-            this->take(*event);
-        }
-        return true;
+        return std::uniform_real_distribution<double>(0, 1)(this->random);
     }
 
-    void on_done(const result<void>& done) override
+    /// The time to the next request of a Poisson stream.
+    [[nodiscard]] steady_clock::duration draw_gap()
     {
-        const std::scoped_lock hold(this->outcome->mutex);
-        this->judge(done);
-        --this->outcome->under_way;
-        this->outcome->changed.notify_all();
+        const double seconds =
+            std::exponential_distribution<double>(this->plan->rate)(this->random);
+        return std::chrono::duration_cast<steady_clock::duration>(
+            std::chrono::duration<double>(seconds));
     }
 
-  private:
-    void take(const server_sent_event& event)
+    /// Counts a request; waits for room unless requests are sent by the clock.
+    void begin(load_outcome& outcome)
     {
-        if (event.data == stream_end)
-        {
-            this->ended = true;
-            return;
-        }
-        const json chunk = json::parse(event.data, nullptr, false);
-        if (!chunk.is_object() || chunk.value("choices", json::array()).empty())
+        std::unique_lock hold(outcome.mutex);
+        if (this->plan->rate <= 0)
         {
-            return;
+            outcome.changed.wait(hold, [&]
+                                 { return outcome.under_way < this->plan->concurrency; });
         }
-        const std::string piece = chunk["choices"][0].value("text", "");
-        if (piece.empty())
-        {
-            return;
-        }
-        const auto now = steady_clock::now();
-        const double passed = std::chrono::duration<double, std::milli>(
-                                  now - (this->text.empty() ? this->begun : this->last))
-                                  .count();
-        (this->text.empty() ? this->first_ms : this->gaps_ms).push_back(passed);
-        this->last = now;
-        this->text += piece;
+        ++outcome.under_way;
+        ++outcome.sent;
     }
 
-    void judge(const result<void>& done)
+    /// Chooses a workspace: in turn, or by Zipf's law.
+    [[nodiscard]] std::size_t choose_tenant(std::uint32_t index)
     {
-        if (!this->booking_key.empty())
+        const std::size_t count = this->plan->keys.size();
+        if (this->plan->tenant_skew <= 0)
         {
-            this->outcome->bookings.push_back({{"key", this->booking_key},
-                                               {"status", done ? this->status : 0},
-                                               {"run", this->run}});
+            return index % count;
         }
-        if (done && this->status != 200)
+        std::vector<double> weights;
+        for (std::size_t rank = 1; rank <= count; ++rank)
         {
-            const json refusal = json::parse(this->body, nullptr, false);
-            const json fault = refusal.is_object()
-                                   ? refusal.value("error", json::object())
-                                   : json::object();
-            ++this->outcome->refused[fault.value("code", std::to_string(this->status)) +
-                                     "/" + fault.value("run", "?")];
-            return;
-        }
-        if (!this->booking_key.empty())
-        {
-            this->outcome->whole += done ? 1 : 0;
-            this->outcome->cut += done ? 0 : 1;
-            return;
+            weights.push_back(
+                1 / std::pow(static_cast<double>(rank), this->plan->tenant_skew));
         }
-        this->judge_text(done);
-    }
-
-    void judge_text(const result<void>& done)
-    {
-        if (!this->streamed)
-        {
-            const json answer = json::parse(this->body, nullptr, false);
-            this->ended = answer.is_object() && answer.contains("choices");
-            this->text = this->ended ? answer["choices"][0].value("text", "") : "";
-        }
-        std::string expected;
-        const std::uint32_t length =
-            std::min(this->output_limit, fakes::natural_length(this->seed));
-        for (std::uint32_t index = 0; index < length; ++index)
-        {
-            expected += fakes::token_text(this->seed, index);
-        }
-        if (!done || !this->ended)
-        {
-            ++this->outcome->cut;
-        }
-        else if (this->text != expected)
-        {
-            ++this->outcome->crossed;
-        }
-        else
-        {
-            ++this->outcome->whole;
-            this->outcome->output_tokens += length;
-            append(this->outcome->first_token_ms, this->first_ms);
-            append(this->outcome->token_gap_ms, this->gaps_ms);
-        }
-    }
-
-    static void append(std::vector<double>& target, const std::vector<double>& source)
-    {
-        target.insert(target.end(), source.begin(), source.end());
-    }
-
-    load_outcome* outcome;
-    std::string seed;
-    std::uint32_t output_limit;
-    bool streamed;
-    std::string booking_key;
-    steady_clock::time_point begun;
-    steady_clock::time_point last;
-    int status = 0;
-    std::string run;
-    event_splitter events;
-    std::string body;
-    std::string text;
-    bool ended = false;
-    std::vector<double> first_ms;
-    std::vector<double> gaps_ms;
-};
-
-/// Draws requests and sends them, so many at a time.
-class load_generator
-{
-  public:
-    load_generator(const load_plan& chosen, http_client& target)
-        : plan(&chosen)
-        , client(&target)
-        , random(chosen.seed)
-    {
-    }
-
-    void run(load_outcome& outcome)
-    {
-        for (std::uint32_t index = 0; index < this->plan->requests; ++index)
-        {
-            {
-                std::unique_lock hold(outcome.mutex);
-                outcome.changed.wait(
-                    hold, [&] { return outcome.under_way < this->plan->concurrency; });
-                ++outcome.under_way;
-                ++outcome.sent;
-            }
-            this->send(index, outcome);
-        }
-        std::unique_lock hold(outcome.mutex);
-        outcome.changed.wait(hold, [&] { return outcome.under_way == 0; });
-    }
-
-  private:
-    [[nodiscard]] double draw()
-    {
-        return std::uniform_real_distribution<double>(0, 1)(this->random);
+        std::discrete_distribution<std::size_t> choice(weights.begin(), weights.end());
+        return choice(this->random);
     }
 
     void send(std::uint32_t index, load_outcome& outcome)
     {
         const std::string& entry =
             this->plan->entries[index % this->plan->entries.size()];
-        const auto& [workspace, key] = this->plan->keys[index % this->plan->keys.size()];
+        const auto& [workspace, key] = this->plan->keys[this->choose_tenant(index)];
+        {
+            const std::scoped_lock hold(outcome.mutex);
+            ++outcome.workspaces[workspace].sent;
+        }
         http_call call;
         call.method = "POST";
         call.headers = {{"Authorization", "Bearer " + key},
@@ -277,30 +151,41 @@
             call.headers.emplace_back("Idempotency-Key", booking);
             call.body = "{}";
             call.fresh_connection = true;
-            this->client->start(std::move(call), std::make_shared<load_request>(
-                                                     outcome, "", 0, false, booking));
+            this->client->start(std::move(call),
+                                std::make_shared<load_request>(outcome, workspace, "", 0,
+                                                               false, booking));
             return;
         }
         const bool stream = this->draw() < this->plan->stream_share;
-        const std::string prompt = this->make_prompt(index);
+        const std::string prompt = this->make_prompt(index, workspace);
         const json body{{"model", "drafter"},
                         {"prompt", prompt},
                         {"stream", stream},
                         {"max_tokens", this->plan->output_tokens}};
         call.url = entry + "/v1/completions";
         call.body = body.dump();
-        this->client->start(std::move(call),
-                            std::make_shared<load_request>(
-                                outcome, prompt, this->plan->output_tokens, stream, ""));
+        this->client->start(std::move(call), std::make_shared<load_request>(
+                                                 outcome, workspace, prompt,
+                                                 this->plan->output_tokens, stream, ""));
     }
 
-    [[nodiscard]] std::string make_prompt(std::uint32_t index)
+    [[nodiscard]] std::string make_prompt(std::uint32_t index,
+                                          const std::string& workspace)
     {
         const auto size =
             static_cast<std::size_t>((0.5 + this->draw()) * this->plan->prompt_bytes);
-        std::string prompt = "request " + std::to_string(this->plan->seed) + " " +
-                             std::to_string(index) + " ";
-        while (prompt.size() < size)
+        std::string prompt;
+        if (this->plan->prefix_share > 0 && this->draw() < this->plan->prefix_share)
+        {
+            while (prompt.size() < this->plan->prefix_bytes)
+            {
+                prompt += "preamble of " + workspace + " ";
+            }
+        }
+        prompt += "request " + std::to_string(this->plan->seed) + " " +
+                  std::to_string(index) + " ";
+        const std::size_t begun = prompt.size();
+        while (prompt.size() - begun < size)
         {
             prompt += "subscriber record ";
         }
@@ -314,6 +199,12 @@
 
 void print(load_outcome& outcome)
 {
+    json workspaces = json::object();
+    for (const auto& [name, own] : outcome.workspaces)
+    {
+        workspaces[name] = {
+            {"sent", own.sent}, {"whole", own.whole}, {"refused", own.refused}};
+    }
     const json report{{"sent", outcome.sent},
                       {"whole", outcome.whole},
                       {"cut", outcome.cut},
@@ -326,6 +217,7 @@
                       {"token_gap_ms",
                        {{"p50", percentile(outcome.token_gap_ms, 0.5)},
                         {"p95", percentile(outcome.token_gap_ms, 0.95)}}},
+                      {"workspaces", workspaces},
                       {"bookings", outcome.bookings}};
     std::cout << report.dump() << '\n';
 }
@@ -342,7 +234,15 @@
         "booking-share", "", cxxopts::value<double>()->default_value("0.2"))(
         "prompt-bytes", "mean", cxxopts::value<std::uint32_t>()->default_value("4000"))(
         "output-tokens", "limit", cxxopts::value<std::uint32_t>()->default_value("40"))(
-        "seed", "", cxxopts::value<std::uint64_t>()->default_value("1"))("help", "");
+        "seed", "", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "rate", "requests per second, sent on time; 0 waits for answers",
+        cxxopts::value<double>()->default_value("0"))(
+        "tenant-skew", "Zipf exponent over the workspaces",
+        cxxopts::value<double>()->default_value("0"))(
+        "prefix-share", "prompts that begin with their workspace's preamble",
+        cxxopts::value<double>()->default_value("0"))(
+        "prefix-bytes", "of a preamble",
+        cxxopts::value<std::uint32_t>()->default_value("8000"))("help", "");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0 || arguments.count("addresses") == 0)
     {
@@ -364,6 +264,10 @@
     plan.prompt_bytes = arguments["prompt-bytes"].as<std::uint32_t>();
     plan.output_tokens = arguments["output-tokens"].as<std::uint32_t>();
     plan.seed = arguments["seed"].as<std::uint64_t>();
+    plan.rate = arguments["rate"].as<double>();
+    plan.tenant_skew = arguments["tenant-skew"].as<double>();
+    plan.prefix_share = arguments["prefix-share"].as<double>();
+    plan.prefix_bytes = arguments["prefix-bytes"].as<std::uint32_t>();
     auto client = http_client::create({});
     if (!client)
     {
