--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include <net/http_client.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <deque>
@@ -36,6 +37,7 @@
     std::vector<http_header> answer_headers;
     bool head_told = false;
     bool refused_by_sink = false;
+    bool has_body = false;
     steady_clock::time_point heard; ///< The last byte, or the call's begin.
 
     ~call_state() { curl_slist_free_all(this->headers); }
@@ -81,6 +83,7 @@
 {
     auto& state = *static_cast<call_state*>(context);
     state.heard = steady_clock::now();
+    state.has_body = true;
     tell_head(state);
     if (!state.sink->on_data({data, size}))
     {
@@ -90,6 +93,18 @@
     return size;
 }
 
+/// Tells whether an answer's end can be told from a cut: by its length or its chunks.
+bool is_framed(const call_state& state)
+{
+    return std::any_of(state.answer_headers.begin(), state.answer_headers.end(),
+                       [](const http_header& header)
+                       {
+                           const char* const name = header.first.c_str();
+                           return ::strcasecmp(name, "Content-Length") == 0 ||
+                                  ::strcasecmp(name, "Transfer-Encoding") == 0;
+                       });
+}
+
 /// Tells what a failed transfer means for the work that was asked for.
 error_code classify(CURLcode code, const call_state& state)
 {
@@ -315,7 +330,13 @@
             const CURLcode code = message->data.result;
             call_state* state = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &state);
-            if (code == CURLE_OK)
+            if (code == CURLE_OK && state->has_body && !is_framed(*state))
+            {
+                this->end(state->id,
+                          fail(error_code::broken, state->call.step, state->call.url,
+                               "the answer's end cannot be told from a cut"));
+            }
+            else if (code == CURLE_OK)
             {
                 tell_head(*state);
                 this->end(state->id, {});
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -1,4 +1,10 @@
+#include <thread>
+
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <agateseam/published.hpp>
 #include <fakes/service_fake.hpp>
@@ -6,6 +12,83 @@
 
 using namespace agateseam;
 
+namespace
+{
+
+/// Answers one connection with fixed bytes and closes it.
+class canned_server
+{
+  public:
+    explicit canned_server(std::string bytes)
+        : answer(std::move(bytes))
+        , listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* const generic = reinterpret_cast<sockaddr*>(&address);
+        REQUIRE(::bind(this->listener, generic, size) == 0);
+        REQUIRE(::listen(this->listener, 1) == 0);
+        REQUIRE(::getsockname(this->listener, generic, &size) == 0);
+        this->port = ntohs(address.sin_port);
+        this->worker = std::thread([this] { this->serve(); });
+    }
+
+    ~canned_server()
+    {
+        this->worker.join();
+        ::close(this->listener);
+    }
+    canned_server(const canned_server&) = delete;
+    canned_server& operator=(const canned_server&) = delete;
+
+    std::uint16_t port = 0;
+
+  private:
+    void serve() const
+    {
+        const int peer = ::accept(this->listener, nullptr, nullptr);
+        std::string request(4'096, ' ');
+        (void)::recv(peer, request.data(), request.size(), 0);
+        (void)::send(peer, this->answer.data(), this->answer.size(), MSG_NOSIGNAL);
+        ::close(peer);
+    }
+
+    std::string answer;
+    int listener;
+    std::thread worker;
+};
+
+result<http_reply> fetch_canned(std::string bytes)
+{
+    const canned_server server(std::move(bytes));
+    const auto client = http_client::create({});
+    REQUIRE(client);
+    http_call call;
+    call.url = "http://127.0.0.1:" + std::to_string(server.port) + "/";
+    return (*client)->fetch(call);
+}
+
+} // namespace
+
+TEST_CASE("an answer without its proper end is never whole")
+{
+    for (const std::string_view bytes :
+         {"HTTP/1.0 200 OK\r\n\r\nhalf",
+          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"})
+    {
+        CAPTURE(bytes);
+        const auto reply = fetch_canned(std::string(bytes));
+        REQUIRE(!reply);
+        CHECK(reply.error().code == error_code::broken);
+    }
+    const auto reply = fetch_canned("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+    REQUIRE(reply);
+    CHECK(reply->body == "whole");
+}
+
 TEST_CASE("a whole answer arrives once over loopback")
 {
     auto service = fakes::service_fake::create({});
