--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -45,7 +45,7 @@
         this->usage.reset();
         this->context->slots->stop();
         this->server.reset();
-        this->context->client.reset();
+        this->context->client->stop();
     }
     agent(const agent&) = delete;
     agent& operator=(const agent&) = delete;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -144,9 +144,7 @@
 
     ~client_thread()
     {
-        this->stopping.store(true);
-        curl_multi_wakeup(this->multi);
-        this->worker.join();
+        this->stop();
         for (CURL* handle : this->idle_handles)
         {
             curl_easy_cleanup(handle);
@@ -157,6 +155,17 @@
     client_thread(const client_thread&) = delete;
     client_thread& operator=(const client_thread&) = delete;
 
+    /// Ends what is open; what its sinks start meanwhile is dropped.
+    void stop()
+    {
+        this->stopping.store(true);
+        curl_multi_wakeup(this->multi);
+        if (this->worker.joinable())
+        {
+            this->worker.join();
+        }
+    }
+
     void start(std::unique_ptr<call_state> state)
     {
         {
@@ -403,6 +412,14 @@
         return id;
     }
 
+    void stop() override
+    {
+        for (const auto& thread : this->threads)
+        {
+            thread->stop();
+        }
+    }
+
     void cancel(call_id call) override
     {
         this->threads[call & ((1U << shard_bits) - 1)]->cancel(call);
