--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint32_t most_attempts = 6;
 constexpr double promise_risk = 0.1;
 constexpr double renew_interval = 1; // seconds
+constexpr double list_lag = 5;       // seconds
 constexpr double silence_limit = 2;  // seconds
 
 std::chrono::nanoseconds to_span(double seconds)
@@ -308,6 +309,10 @@
 void policy_run::lose_agent(std::uint32_t agent)
 {
     this->agents[agent].lost = true;
+    if (!this->plan->list_frozen)
+    {
+        this->events.after(list_lag, [this, agent] { this->list_as_leaving(agent); });
+    }
     std::vector<std::uint64_t> hit;
     for (auto& [number, request] : this->live)
     {
@@ -338,6 +343,15 @@
     }
 }
 
+/// The platform's list has caught up: the VM is known to be gone.
+void policy_run::list_as_leaving(std::uint32_t agent)
+{
+    for (modelled_entry& entry : this->entries)
+    {
+        entry.members.all[agent]->leaving = true;
+    }
+}
+
 void policy_run::waste(live_request& request)
 {
     this->outcome.wasted_tokens += request.computed;
--- a/bench/policy_run.hpp
+++ b/bench/policy_run.hpp
@@ -103,6 +103,7 @@
     // Both.
     void drive(std::uint32_t agent);
     void lose_agent(std::uint32_t agent);
+    void list_as_leaving(std::uint32_t agent);
     void waste(live_request& request);
     void free_slot(std::uint32_t agent, const live_request& request, double used);
     [[nodiscard]] live_request* find(std::uint32_t agent, const attempt_id& id);
