--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -1,5 +1,6 @@
 #include <daemon/daemon.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <thread>
 
@@ -8,6 +9,7 @@
 #include <agateseam/api_key.hpp>
 #include <daemon/agent_context.hpp>
 #include <daemon/api_error.hpp>
+#include <daemon/usage_controller.hpp>
 
 namespace agateseam
 {
@@ -18,6 +20,7 @@
 constexpr std::chrono::milliseconds heartbeat_interval{500};
 constexpr std::chrono::milliseconds reconcile_interval{50};
 constexpr std::chrono::seconds outcome_retention{120};
+constexpr std::string_view attempts_path = "/agent/attempts/";
 
 /// Serves the orders of entries and of other agents.
 class agent final : public daemon_process, public http_handler
@@ -39,21 +42,29 @@
         {
             this->beater.join();
         }
+        this->usage.reset();
         this->context->slots->stop();
         this->server.reset();
-        this->context->client.reset();
+        this->context->client->stop();
     }
     agent(const agent&) = delete;
     agent& operator=(const agent&) = delete;
 
     [[nodiscard]] result<void> start()
     {
+        this->context->telemetry->gauges = [shared = this->context.get()]
+        {
+            const load_report load = shared->report();
+            return process_gauges{load.slots, load.used, load.queued, shared->open};
+        };
         auto created = http_server::create(this->context->settings.listen, *this);
         if (!created)
         {
             return tl::unexpected<error>(created.error());
         }
         this->server = std::move(*created);
+        this->usage = std::make_unique<usage_controller>(*this->context->telemetry,
+                                                         *this->context->client);
         this->beater = std::thread([this] { this->beat(); });
         return {};
     }
@@ -65,7 +76,15 @@
 
     void drain() override { this->context->drain(); }
 
-    [[nodiscard]] std::size_t open_work() const override { return this->context->open; }
+    /// Leases go on being renewed until the work has ended.
+    void stop_listening() override {}
+
+    /// An attempt counts until its answer's last byte has been handed to the system.
+    [[nodiscard]] std::size_t open_work() const override
+    {
+        const std::size_t attempts = this->context->open;
+        return std::max(attempts, this->server->open_exchanges());
+    }
 
     void handle(std::shared_ptr<http_exchange> exchange) override
     {
@@ -79,8 +98,10 @@
             const bool serves = this->context->ready && !this->context->leaving;
             exchange->respond(serves ? 200 : 503, {}, "");
         }
-        else if (!equal_secrets(exchange->request().header(headers::fleet),
-                                this->context->settings.fleet_secret))
+        else if (this->context->telemetry->serve(*exchange, this->trusted(*exchange)))
+        {
+        }
+        else if (!this->trusted(*exchange))
         {
             respond(*exchange, to_api_error({error_code::unauthorized, "receive order",
                                              "", "the fleet secret is missing or wrong"},
@@ -91,10 +112,14 @@
             exchange->respond(200, {{"Content-Type", "application/json"}},
                               to_text(this->context->report()));
         }
-        else if (path == "/agent/renew")
+        else if (path == "/agent/leases")
         {
             this->renew(*exchange);
         }
+        else if (path.starts_with(attempts_path))
+        {
+            this->tell_outcome(*exchange);
+        }
         else if (path == "/agent/drain")
         {
             this->drain();
@@ -107,20 +132,10 @@
     }
 
   private:
-    /// An entry names the attempts that it still relays.
-    void renew(http_exchange& exchange)
+    [[nodiscard]] bool trusted(const http_exchange& exchange) const
     {
-        const auto ids = parse_attempt_ids(exchange.request().body);
-        if (!ids)
-        {
-            respond(exchange, to_api_error(ids.error(), run_state::not_run));
-            return;
-        }
-        for (const attempt_id& id : *ids)
-        {
-            this->context->slots->renew(id);
-        }
-        exchange.respond(200, {this->context->load_header()}, "");
+        return equal_secrets(exchange.request().header(headers::fleet),
+                             this->context->settings.fleet_secret);
     }
 
     void take_order(const std::shared_ptr<http_exchange>& exchange)
@@ -134,17 +149,13 @@
             return;
         }
         const http_request& request = exchange->request();
+        this->context->telemetry->take_stamp(request.header(headers::stamp));
         auto order = parse_attempt_order(request.header(headers::attempt));
         if (!order)
         {
             respond(*exchange, to_api_error(order.error(), run_state::not_run));
             return;
         }
-        if (request.path == "/agent/prefill")
-        {
-            start_prefill_attempt(*this->context, exchange, std::move(*order));
-            return;
-        }
         if (!this->context->attempts.begin(order->id, this->context->time.now()))
         {
             respond(*exchange, to_api_error({error_code::conflict, "receive order",
@@ -152,6 +163,10 @@
                                              "this attempt was here before"},
                                             run_state::unknown));
         }
+        else if (request.path == "/agent/prefill")
+        {
+            start_prefill_attempt(*this->context, exchange, std::move(*order));
+        }
         else if (request.path == "/agent/decode")
         {
             start_decode_attempt(*this->context, exchange, std::move(*order));
@@ -168,6 +183,55 @@
         }
     }
 
+    /// Renews the leases of an entry's attempts, and ends those it gave up.
+    void renew(http_exchange& exchange)
+    {
+        const auto order = parse_lease_order(exchange.request().body);
+        if (!order)
+        {
+            respond(exchange, to_api_error(order.error(), run_state::not_run));
+            return;
+        }
+        std::vector<attempt_id> unknown;
+        for (const attempt_id& id : order->renew)
+        {
+            this->context->slots->renew(id);
+            if (!this->context->attempts.renew(id, this->context->time.now()))
+            {
+                unknown.push_back(id);
+            }
+        }
+        for (const attempt_id& id : order->end)
+        {
+            this->context->slots->end(id);
+        }
+        exchange.respond(200, {{"Content-Type", "application/json"}},
+                         lease_reply_text(unknown));
+    }
+
+    /// Answers what became of REQUEST/ATTEMPT.
+    void tell_outcome(http_exchange& exchange)
+    {
+        std::string name = exchange.request().path.substr(attempts_path.size());
+        std::replace(name.begin(), name.end(), '/', '.');
+        const auto id = parse_attempt_id(name);
+        if (!id)
+        {
+            respond(exchange, to_api_error(id.error(), run_state::not_run));
+            return;
+        }
+        const auto record = this->context->attempts.find(*id);
+        if (!record)
+        {
+            respond(exchange, to_api_error(record.error(), run_state::unknown));
+            return;
+        }
+        const nlohmann::json body{{"attempt", to_text(*id)},
+                                  {"ended", record->ended},
+                                  {"run", to_string(record->run)}};
+        exchange.respond(200, {{"Content-Type", "application/json"}}, body.dump());
+    }
+
     void beat()
     {
         std::unique_lock hold(this->mutex);
@@ -189,6 +253,7 @@
 
     std::unique_ptr<agent_context> context;
     std::unique_ptr<http_server> server;
+    std::unique_ptr<usage_controller> usage;
     std::mutex mutex;
     std::condition_variable wake;
     bool stopping = false;
--- a/src/daemon/agent_context.cpp
+++ b/src/daemon/agent_context.cpp
@@ -18,14 +18,17 @@
 constexpr double promise_risk = 0.1;        ///< Of a slot that is promised in use.
 constexpr milliseconds engine_timeout{2'000};
 constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
 
-scheduler_options scheduler_options_of(const backend_settings& backend)
+scheduler_options scheduler_options_of(const daemon_settings& settings)
 {
+    const backend_settings& backend = settings.backend;
     const bool prefill = backend.kind == backend_kind::prefill;
     scheduler_options options;
     options.slots = prefill ? prefill_slots : backend.slots;
     options.queue_limit = backend.queue_limit;
     options.kv_lifetime = kv_lifetime;
+    options.lease_lifetime = settings.limits.lease;
     options.promise_risk = prefill ? 0 : promise_risk;
     return options;
 }
@@ -38,38 +41,6 @@
 
 } // namespace
 
-bool attempt_table::begin(const attempt_id& id, time_point now)
-{
-    const std::scoped_lock hold(this->mutex);
-    return this->records.emplace(id, attempt_record{false, run_state::unknown, now})
-        .second;
-}
-
-void attempt_table::end(const attempt_id& id, run_state run, time_point now)
-{
-    const std::scoped_lock hold(this->mutex);
-    this->records[id] = {true, run, now};
-}
-
-result<attempt_record> attempt_table::find(const attempt_id& id) const
-{
-    const std::scoped_lock hold(this->mutex);
-    const auto found = this->records.find(id);
-    if (found == this->records.end())
-    {
-        return fail(error_code::not_found, "find attempt", "",
-                    "no such attempt is known");
-    }
-    return found->second;
-}
-
-void attempt_table::forget_before(time_point limit)
-{
-    const std::scoped_lock hold(this->mutex);
-    std::erase_if(this->records, [&](const auto& item)
-                  { return item.second.ended && item.second.when < limit; });
-}
-
 result<std::unique_ptr<agent_context>>
 agent_context::create(const daemon_settings& settings)
 {
@@ -80,8 +51,7 @@
     }
     std::unique_ptr<agent_context> context(new agent_context(settings));
     context->client = std::move(*client);
-    auto slots =
-        slot_service::create(scheduler_options_of(settings.backend), context->time);
+    auto slots = slot_service::create(scheduler_options_of(settings), context->time);
     if (!slots)
     {
         return tl::unexpected<error>(slots.error());
@@ -90,6 +60,8 @@
     context->ready = settings.backend.kind == backend_kind::service;
     context->incarnation =
         static_cast<std::uint64_t>(context->time.wall_now().time_since_epoch().count());
+    context->telemetry = std::make_unique<process_telemetry>(settings, context->time,
+                                                             context->incarnation);
     return context;
 }
 
@@ -107,14 +79,15 @@
 
 bool agent_context::reconcile()
 {
+    const bool service = this->settings.backend.kind == backend_kind::service;
     http_call list;
-    list.url = this->settings.backend.url + "/requests";
+    list.url = this->settings.backend.url + (service ? "/healthz" : "/requests");
     list.step = "reconcile";
     list.total_timeout = engine_timeout;
     const auto reply = this->client->fetch(std::move(list));
-    if (!reply || reply->status != status_ok)
+    if (!reply || service || reply->status != status_ok)
     {
-        return false;
+        return reply && (service || reply->status == status_not_found);
     }
     const auto ids = nlohmann::json::parse(reply->body, nullptr, false);
     for (const auto& id : ids)
@@ -135,16 +108,31 @@
     abort.step = "cancel";
     abort.total_timeout = engine_timeout;
     abort.body = nlohmann::json{{"request_id", engine_id}}.dump();
+    abort.fresh_connection = true;
     this->client->fetch_async(std::move(abort),
-                              [](const result<http_reply>& reply)
+                              [this, engine_id](const result<http_reply>& reply)
                               {
-                                  if (!reply)
+                                  const bool again =
+                                      !reply &&
+                                      reply.error().code != error_code::unavailable &&
+                                      reply.error().code != error_code::cancelled;
+                                  if (again)
                                   {
                                       log_error("cancel failed", reply.error());
+                                      const std::scoped_lock hold(this->mutex);
+                                      this->unconfirmed_aborts.insert(engine_id);
                                   }
                               });
 }
 
+void agent_context::note_backend(const error& fault)
+{
+    if (fault.code == error_code::unavailable)
+    {
+        this->ready = false;
+    }
+}
+
 bool agent_context::take_slot()
 {
     std::uint32_t held = this->used.load();
@@ -179,7 +167,7 @@
     report.queued = load.queued;
     report.queued_tokens = static_cast<std::uint64_t>(load.queued_tokens);
     report.tokens_per_second = this->settings.backend.tokens_per_second;
-    report.leaving = this->leaving;
+    report.leaving = this->leaving || !this->ready;
     return report;
 }
 
@@ -197,6 +185,7 @@
 void agent_context::beat()
 {
     std::vector<std::shared_ptr<heartbeat_listener>> alive;
+    std::set<std::string> aborts;
     {
         const std::scoped_lock hold(this->mutex);
         std::erase_if(this->listeners, [](const auto& item) { return item.expired(); });
@@ -207,6 +196,11 @@
                 alive.push_back(std::move(listener));
             }
         }
+        aborts.swap(this->unconfirmed_aborts);
+    }
+    for (const std::string& engine_id : aborts)
+    {
+        this->abort_at_engine(engine_id);
     }
     for (const auto& listener : alive)
     {
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -1,5 +1,6 @@
 #include <daemon/daemon.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <thread>
@@ -10,6 +11,9 @@
 #include <daemon/config_controller.hpp>
 #include <daemon/entry_context.hpp>
 #include <daemon/member_controller.hpp>
+#include <daemon/renewal_controller.hpp>
+#include <daemon/usage_collector.hpp>
+#include <daemon/usage_controller.hpp>
 
 namespace agateseam
 {
@@ -26,8 +30,10 @@
     {
     }
 
+    /// Ends callers' connections first, so that what was logged as cut is cut.
     ~entry() override
     {
+        this->server.reset();
         {
             const std::scoped_lock hold(this->mutex);
             this->stopping = true;
@@ -37,12 +43,14 @@
         {
             this->operator_worker.join();
         }
+        this->usage.reset();
+        this->renewals.reset();
         this->config.reset();
         this->members.reset();
-        this->server.reset();
+        this->context->allowance->stop();
+        this->collector.reset();
         this->context->claims->stop();
-        this->context->renewer->stop();
-        this->context->client.reset();
+        this->context->client->stop();
     }
     entry(const entry&) = delete;
     entry& operator=(const entry&) = delete;
@@ -51,6 +59,13 @@
     {
         this->config = std::make_unique<config_controller>(*this->context);
         this->members = std::make_unique<member_controller>(*this->context);
+        this->collector = std::make_unique<usage_collector>(*this->context->telemetry,
+                                                            *this->context->store);
+        this->context->telemetry->gauges = [shared = this->context.get()]
+        { return shared->gauges(); };
+        this->context->telemetry->role_metrics = [shared = this->context.get()]
+        { return to_text(shared->counters) + to_metrics(*shared->store); };
+        this->renewals = std::make_unique<renewal_controller>(*this->context);
         this->operator_worker = std::thread([this] { this->serve_operators(); });
         auto created = http_server::create(this->context->settings.listen, *this);
         if (!created)
@@ -58,6 +73,8 @@
             return tl::unexpected<error>(created.error());
         }
         this->server = std::move(*created);
+        this->usage = std::make_unique<usage_controller>(*this->context->telemetry,
+                                                         *this->context->client);
         return {};
     }
 
@@ -66,9 +83,20 @@
         return this->server->port();
     }
 
-    void drain() override { this->context->leaving = true; }
+    void drain() override
+    {
+        this->context->leaving = true;
+        this->server->close_after_answers();
+    }
 
-    [[nodiscard]] std::size_t open_work() const override { return this->context->open; }
+    void stop_listening() override { this->server->quiesce(); }
+
+    /// A request counts until its answer's last byte has been handed to the system.
+    [[nodiscard]] std::size_t open_work() const override
+    {
+        const std::size_t requests = this->context->open;
+        return std::max(requests, this->server->open_exchanges());
+    }
 
     void handle(std::shared_ptr<http_exchange> exchange) override
     {
@@ -81,15 +109,24 @@
         {
             exchange->respond(this->ready() ? 200 : 503, {}, "");
         }
-        else if (path == "/metrics")
+        else if (this->context->telemetry->serve(
+                     *exchange, this->context->trusted(exchange->request())))
+        {
+        }
+        else if (path == usage_path && this->context->trusted(exchange->request()))
         {
-            exchange->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                              this->metrics());
+            this->context->telemetry->take_stamp(
+                exchange->request().header(headers::stamp));
+            this->collector->take(std::move(exchange));
         }
         else if (path.starts_with("/operator/"))
         {
             this->queue_operator(std::move(exchange));
         }
+        else if (path == "/rpc")
+        {
+            this->serve_rpc(*exchange);
+        }
         else if (path == "/peer/config")
         {
             this->serve_peer(std::move(exchange));
@@ -121,6 +158,21 @@
                this->context->board.config.read() && this->context->board.members.read();
     }
 
+    /// Serves the other entries' calls about shares.
+    void serve_rpc(http_exchange& exchange)
+    {
+        if (!equal_secrets(exchange.request().header(headers::fleet),
+                           this->context->settings.fleet_secret))
+        {
+            respond(exchange, to_api_error({error_code::unauthorized, "rpc", "",
+                                            "the fleet secret is missing or wrong"},
+                                           run_state::not_run));
+            return;
+        }
+        exchange.respond(200, {{"Content-Type", "application/json"}},
+                         this->context->allowance->serve(exchange.request().body));
+    }
+
     void serve_peer(std::shared_ptr<http_exchange> exchange)
     {
         if (!equal_secrets(exchange->request().header(headers::fleet),
@@ -149,12 +201,6 @@
         start_model_request(*this->context, std::move(exchange));
     }
 
-    [[nodiscard]] std::string metrics() const
-    {
-        return "# TYPE agateseam_requests_open gauge\nagateseam_requests_open " +
-               std::to_string(this->context->open) + "\n";
-    }
-
     void list_models(http_exchange& exchange) const
     {
         const auto owner = this->context->authenticate(exchange.request());
@@ -208,6 +254,9 @@
     std::unique_ptr<entry_context> context;
     std::unique_ptr<config_controller> config;
     std::unique_ptr<member_controller> members;
+    std::unique_ptr<usage_collector> collector;
+    std::unique_ptr<usage_controller> usage;
+    std::unique_ptr<renewal_controller> renewals;
     std::unique_ptr<http_server> server;
     std::mutex mutex;
     std::condition_variable wake;
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -14,12 +14,16 @@
 #include <agateseam/object_store.hpp>
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
-#include <agateseam/static_admission.hpp>
+#include <agateseam/retry_budget.hpp>
+#include <agateseam/store_budget.hpp>
 #include <daemon/config_peers.hpp>
 #include <daemon/key_watch.hpp>
-#include <daemon/lease_renewer.hpp>
 #include <daemon/messages.hpp>
+#include <daemon/open_attempts.hpp>
+#include <daemon/path_counters.hpp>
 #include <daemon/settings.hpp>
+#include <daemon/share_controller.hpp>
+#include <daemon/telemetry.hpp>
 #include <net/http_client.hpp>
 
 namespace agateseam
@@ -70,22 +74,32 @@
     /// \brief Tells whether requests may be admitted under the configuration in force.
     [[nodiscard]] bool may_admit() const noexcept;
 
+    /// \brief Tells whether a request carries the fleet secret or the operator token.
+    [[nodiscard]] bool trusted(const http_request& request) const;
+
+    /// \brief Returns what the metrics page shows of this entry.
+    [[nodiscard]] process_gauges gauges() const;
+
     /// \brief Takes over the load that came with an agent's answer.
     void note_load(const std::vector<http_header>& head);
 
     daemon_settings settings;
     steady_clock_source time;
     entry_board board;
+    std::unique_ptr<process_telemetry> telemetry;
     std::unique_ptr<http_client> client;
-    std::unique_ptr<object_store> store;
+    std::unique_ptr<object_store> platform; ///< Behind the budget: call `store` instead.
+    std::unique_ptr<budgeted_store> store;
     std::unique_ptr<claim_ledger> claims;
     std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
     std::unique_ptr<config_relay> relay;
     std::unique_ptr<config_peers> peers;
     key_watch keys;
-    std::unique_ptr<static_admission> allowance;
+    std::unique_ptr<share_controller> allowance;
     std::unique_ptr<placement> placer;
-    std::unique_ptr<lease_renewer> renewer;
+    std::unique_ptr<retry_budget> retries;
+    open_attempts attempts;
+    path_counters counters;
     std::atomic<duration::rep> admit_until{0}; ///< Monotonic; 0 before the first check.
     std::atomic<bool> leaving{false};
     std::atomic<std::size_t> open{0}; ///< Requests under way.
--- a/src/daemon/prefill_attempt.cpp
+++ b/src/daemon/prefill_attempt.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <daemon/api_error.hpp>
+#include <daemon/attempt_meter.hpp>
 
 namespace agateseam
 {
@@ -31,6 +32,7 @@
         : context(&shared)
         , exchange(std::move(relay))
         , order(std::move(accepted))
+        , meter(*shared.telemetry, this->order)
     {
         ++this->context->open;
     }
@@ -129,10 +131,11 @@
         call.step = "prefill";
         call.total_timeout = this->order.deadline;
         call.headers = {{"Content-Type", "application/json"},
-                        {"x-request-id", this->order.id.request + "." +
-                                             std::to_string(this->order.id.attempt)}};
+                        {"x-request-id", to_text(this->order.id)}};
         call.body = this->body.dump();
         this->body = nullptr;
+        this->meter.note(event_kind::prefill_begun, {}, this->order.prompt_tokens);
+        this->meter.engine_begun();
         const std::scoped_lock hold(this->mutex);
         if (!this->given_up)
         {
@@ -145,19 +148,33 @@
 
     void on_reply(result<http_reply> reply)
     {
+        if (!reply)
+        {
+            this->context->note_backend(reply.error());
+        }
         if (!reply || reply->status != status_ok)
         {
+            this->meter.prefill_lost(this->order.prompt_tokens);
             this->refuse(reply ? error{error_code::unavailable, "prefill",
                                        this->context->settings.backend.url,
                                        "the engine refused the prefill"}
                                : reply.error());
             return;
         }
+        if (this->exchange->gone())
+        {
+            this->meter.prefill_lost(this->order.prompt_tokens);
+        }
+        this->meter.note(event_kind::prefill_ended);
         this->context->slots->release(this->order.id, this->used);
-        this->exchange->respond(
-            status_ok,
-            {{"Content-Type", "application/json"}, this->context->load_header()},
-            std::move(reply->body));
+        this->context->attempts.end(this->order.id, run_state::ran,
+                                    this->context->time.now());
+        this->exchange->respond(status_ok,
+                                {{"Content-Type", "application/json"},
+                                 this->context->load_header(),
+                                 this->context->telemetry->stamp_header(),
+                                 this->meter.engine_time_header()},
+                                std::move(reply->body));
     }
 
     /// The decode agent has gone: what waits or runs for it ends.
@@ -178,6 +195,8 @@
 
     void refuse(const error& fault)
     {
+        this->context->attempts.end(this->order.id, run_state::not_run,
+                                    this->context->time.now());
         api_error refused = to_api_error(fault, run_state::not_run);
         refused.retry_after = std::chrono::ceil<std::chrono::milliseconds>(
             this->context->slots->retry_after());
@@ -187,6 +206,7 @@
     agent_context* context;
     std::shared_ptr<http_exchange> exchange;
     attempt_order order;
+    attempt_meter meter;
     json body;
     double used = 0; ///< Tokens that the engine was asked for.
     std::mutex mutex;
