No slot in time is exhausted, not a timeout

Cause: a refusal by forecast carried error_code::timeout, which says that the effect is unknown; the entry would spend retry budget on it and suspect the agent, though nothing was run. The same for a prefill agent's 503, passed on as unavailable. Change: both are exhausted; a reservation that lapsed is unavailable.

--- a/bench/policy_agents.cpp
+++ b/bench/policy_agents.cpp
@@ -19,7 +19,7 @@
 
 std::string_view name_of(error_code reason)
 {
-    return reason == error_code::timeout ? "no_slot_in_time" : to_string(reason);
+    return reason == error_code::exhausted ? "no_slot_in_time" : to_string(reason);
 }
 
 } // namespace
--- a/include/agateseam/agent_scheduler.hpp
+++ b/include/agateseam/agent_scheduler.hpp
@@ -85,8 +85,8 @@
 
     /// \brief Queues an attempt.
     /// \returns how soon it is thought to start; `conflict` for a known attempt,
-    /// `unavailable` while draining, `exhausted` when the queue is full and `timeout`
-    /// when its deadline can't be met. None of the refused was run.
+    /// `unavailable` while draining, `exhausted` when the queue is full or its deadline
+    /// can't be met. None of the refused was run.
     [[nodiscard]] result<duration> submit(const slot_request& request, time_point now);
 
     /// \brief Asks to run in the granted slot; `started` follows once it is free.
--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -15,6 +15,7 @@
 using json = nlohmann::json;
 
 constexpr int status_ok = 200;
+constexpr int status_busy = 503; // refused before it was begun
 
 /// Tells whether an engine's id for an answer was made of a request's id.
 bool names_request(std::string_view text, std::string_view id) noexcept
@@ -267,7 +268,9 @@
             !answer.contains("kv_transfer_params"))
         {
             this->end(run_state::not_run,
-                      {error_code::unavailable, "prefill", this->order.prefill_vm,
+                      {reply->status == status_busy ? error_code::exhausted
+                                                    : error_code::unavailable,
+                       "prefill", this->order.prefill_vm,
                        "the prefill agent answered " + std::to_string(reply->status)});
             return;
         }
@@ -280,8 +283,8 @@
         if (!this->context->slots->start(this->order.id, this->shared_from_this()))
         {
             this->end(run_state::not_run,
-                      {error_code::timeout, "reserve slot", this->context->settings.vm,
-                       "the reservation lapsed"});
+                      {error_code::unavailable, "reserve slot",
+                       this->context->settings.vm, "the reservation lapsed"});
         }
     }
 
