--- /dev/null
+++ b/examples/admit_and_place.cpp
@@ -0,0 +1,80 @@
+/// Admits requests by a workspace's allowance and places them on agents, in virtual time.
+#include <cstdio>
+#include <memory>
+
+#include <agateseam/clock.hpp>
+#include <agateseam/configuration.hpp>
+#include <agateseam/placement.hpp>
+#include <agateseam/published.hpp>
+#include <agateseam/static_admission.hpp>
+
+namespace
+{
+
+using namespace agateseam;
+
+std::shared_ptr<member> make_agent(const char* vm, backend_kind kind)
+{
+    auto agent = std::make_shared<member>();
+    agent->vm = vm;
+    agent->pool = "drafting";
+    agent->kind = kind;
+    agent->failure_domain = "khomas-a";
+    agent->slots = 20;
+    agent->tokens_per_second = 20'000;
+    agent->known = true;
+    return agent;
+}
+
+} // namespace
+
+int main()
+{
+    manual_clock time;
+    time.advance(std::chrono::seconds(100));
+    const auto config = configuration::parse(
+        R"({"pools":{"drafting":{"model":"drafter"}},
+            "workspaces":{"dune":{"rate":100,"burst":1000}}})",
+        1);
+    auto allowance = static_admission::create(time, 1);
+    if (!config || !allowance)
+    {
+        return 1;
+    }
+    (*allowance)->configure(*config);
+
+    published<member_list> board;
+    auto list = std::make_unique<member_list>();
+    list->all = {make_agent("prefill-1", backend_kind::prefill),
+                 make_agent("decode-1", backend_kind::decode)};
+    board.publish(std::move(list));
+
+    const auto placer = make_least_load_placement();
+    placement_request wanted;
+    wanted.pool = "drafting";
+    wanted.workspace = "dune";
+    wanted.failure_domain = "khomas-a";
+    wanted.prompt_tokens = 300;
+    wanted.output_tokens = 100;
+    int placed = 0;
+    for (int request = 1; request <= 20; ++request)
+    {
+        const auto decision = (*allowance)->reserve("dune", 400);
+        if (!decision.admitted)
+        {
+            std::printf("%2d refused, again in %.1f s\n", request,
+                        std::chrono::duration<double>(decision.retry_after).count());
+        }
+        else
+        {
+            const auto members = board.read();
+            const auto choice = placer->choose(wanted, *members, config->policy);
+            std::printf("%2d %s\n", request,
+                        choice ? choice->decode->vm.c_str() : "no agent");
+            placed += choice ? 1 : 0;
+            (*allowance)->deliver("dune", 400);
+        }
+        time.advance(std::chrono::seconds(1));
+    }
+    return placed > 0 && placed < 20 ? 0 : 1;
+}
--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -5,12 +5,14 @@
 import signal
 import subprocess
 import sys
+import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from fleet import Fleet, http, wait_for  # noqa: E402
 
 WORKSPACES = ("oshana", "swakop", "dune", "kalahari", "crumb")
 REQUESTS = 200
+FLUSH_MS = 500
 ROUTES = {"booking": {"path": "/booking/", "repeatable": False},
           "orders": {"path": "/orders/", "repeatable": True},
           "completions": {"path": "/v1/completions", "repeatable": True}}
@@ -81,15 +83,33 @@
         print(f"{label:<28}{value:>14}")
 
 
+def show_money(fleet):
+    """Prints usage so far, a forecast from a generated history, and one time line."""
+    time.sleep(4 * FLUSH_MS / 1000)
+    print("\nusage so far (agateseam usage)\n" + fleet.cli("usage")[1])
+    history = os.path.join(fleet.directory, "history.json")
+    subprocess.run([fleet.program("forecast_bench"), "--write-history", history,
+                    "--first-seed", "7"], check=True, timeout=30)
+    print("forecast from a GENERATED history (agateseam forecast --history FILE)\n" +
+          fleet.cli("forecast", "--history", history)[1])
+    events = [json.loads(line) for line in
+              fleet.cli("timeline", "--json")[1].splitlines()]
+    last = [item["request"] for item in events if item["event"] == "ended"][-1]
+    print("time line of one request (agateseam timeline --request ID)\n" +
+          fleet.cli("timeline", "--request", last)[1])
+
+
 def main():
     build, keep = sys.argv[1], "--keep" in sys.argv[2:]
-    with Fleet(build, os.path.join(build, "demo")) as fleet:
+    with Fleet(build, os.path.join(build, "demo"),
+               limits={"usage_flush_ms": FLUSH_MS}) as fleet:
         fleet.configure(WORKSPACES)
         addresses = write_addresses(fleet)
         outcome = run_load(fleet, addresses)
         wait_for(lambda: fleet.slots_held() == 0, "the slots to be free", 10)
         doubled = doubled_bookings(fleet)
         print_table(fleet, outcome, doubled, fleet.slots_held())
+        show_money(fleet)
         accounted = (outcome["whole"] + sum(outcome["refused"].values()) +
                      outcome["cut"] + outcome["crossed"])
         bad = outcome["cut"] + outcome["crossed"] + doubled + (accounted != REQUESTS)
--- a/src/cli/usage_commands.cpp
+++ b/src/cli/usage_commands.cpp
@@ -31,6 +31,20 @@
     return text.empty() ? result<calendar_month>(fallback) : calendar_month::parse(text);
 }
 
+/// Prints a cell as wide as its column's name asks for, or after a comma.
+void print_cell(const std::string& text, bool csv, std::size_t column, const char* name)
+{
+    constexpr std::size_t least_width = 12;
+    const auto width =
+        static_cast<int>(std::max(least_width, std::string_view(name).size()) + 2);
+    if (csv)
+    {
+        std::printf("%s%s", column > 0 ? "," : "", text.c_str());
+        return;
+    }
+    std::printf("%*s", width, text.c_str());
+}
+
 int print_rows(const command_line& line, const json& rows,
                std::span<const char* const> columns)
 {
@@ -42,8 +56,7 @@
     const bool csv = line.has("csv");
     for (std::size_t column = 0; column < columns.size(); ++column)
     {
-        std::printf(csv ? "%s%s" : "%s%16s", csv && column > 0 ? "," : "",
-                    columns[column]);
+        print_cell(columns[column], csv, column, columns[column]);
     }
     std::printf("\n");
     for (const json& row : rows)
@@ -57,8 +70,7 @@
             const std::string text = cell.is_string()         ? cell.get<std::string>()
                                      : cell.is_number_float() ? std::string(number)
                                                               : cell.dump();
-            std::printf(csv ? "%s%s" : "%s%16s", csv && column > 0 ? "," : "",
-                        text.c_str());
+            print_cell(text, csv, column, columns[column]);
         }
         std::printf("\n");
     }
--- a/tests/process/usage_test.py
+++ b/tests/process/usage_test.py
@@ -69,7 +69,7 @@
 def main():
     build = sys.argv[1]
     failures = 0
-    with Fleet(build, os.path.join(build, "usage_test"), entries=2, prefill=2, decode=3,
+    with Fleet(build, os.path.join(build, "usage_test"), entries=3, prefill=2, decode=3,
                services=1, limits={"usage_flush_ms": 200}) as fleet:
         fleet.configure(WORKSPACES)
         before = settled(fleet)
@@ -103,11 +103,27 @@
         failures += check("a planned stop loses nothing",
                           metered == known["output_tokens"],
                           (metered, known["output_tokens"]))
+
+        lost = run_load(fleet, 20, 14)
+        fleet.processes["entry-3"].child.kill()
+        fleet.publish_vms(gone=("entry-2", "entry-3"))
+        fleet.entries = ["entry-1"]
+        crashed = settled(fleet)
+        metered = crashed["output_tokens"] - final["output_tokens"]
+        failures += check("a crash loses its last interval at most, and counts no more",
+                          0 <= metered <= lost["output_tokens"],
+                          (metered, lost["output_tokens"]))
+        whole = run_load(fleet, 20, 15)
+        again = settled(fleet)
+        metered = again["output_tokens"] - crashed["output_tokens"]
+        failures += check("after the crash the count is exact again",
+                          metered == whole["output_tokens"],
+                          (metered, whole["output_tokens"]))
     return 1 if failures else 0
 
 
 def settled_after_stop(fleet):
-    fleet.entries = ["entry-1"]
+    fleet.entries = ["entry-1", "entry-3"]
     return settled(fleet)
 
 
