--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -15,13 +15,14 @@
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/retry_budget.hpp>
-#include <agateseam/static_admission.hpp>
+#include <agateseam/store_budget.hpp>
 #include <daemon/config_peers.hpp>
 #include <daemon/key_watch.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/open_attempts.hpp>
 #include <daemon/path_counters.hpp>
 #include <daemon/settings.hpp>
+#include <daemon/share_controller.hpp>
 #include <daemon/telemetry.hpp>
 #include <net/http_client.hpp>
 
@@ -87,13 +88,14 @@
     entry_board board;
     std::unique_ptr<process_telemetry> telemetry;
     std::unique_ptr<http_client> client;
-    std::unique_ptr<object_store> store;
+    std::unique_ptr<object_store> platform; ///< Behind the budget: call `store` instead.
+    std::unique_ptr<budgeted_store> store;
     std::unique_ptr<claim_ledger> claims;
     std::unique_ptr<config_store> configs; ///< For the operators' thread alone.
     std::unique_ptr<config_relay> relay;
     std::unique_ptr<config_peers> peers;
     key_watch keys;
-    std::unique_ptr<static_admission> allowance;
+    std::unique_ptr<share_controller> allowance;
     std::unique_ptr<placement> placer;
     std::unique_ptr<retry_budget> retries;
     open_attempts attempts;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -123,7 +123,7 @@
     limits.lease = milliseconds(section.integer("lease_ms", 1'000, longest_ms, 3'000));
     limits.linger = milliseconds(section.integer("linger_ms", 0, longest_ms, 3'000));
     limits.retry_ratio = section.number("retry_ratio", 0, 1, 0.2);
-    limits.attempts = static_cast<std::uint32_t>(section.integer("attempts", 1, 10, 3));
+    limits.attempts = static_cast<std::uint32_t>(section.integer("attempts", 1, 10, 6));
     limits.output_tokens =
         static_cast<std::uint32_t>(section.integer("output_tokens", 1, 1'000'000, 4'096));
 }
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -45,7 +45,7 @@
     std::chrono::milliseconds drain{30'000};  ///< From SIGTERM to the end.
     std::uint32_t members = 64;          ///< Agents that an entry keeps in touch with.
     std::uint32_t heartbeats = 40;       ///< Calls for load a second, over all agents.
-    std::uint32_t attempts = 3;          ///< Tries of one request.
+    std::uint32_t attempts = 6;          ///< Tries of one request.
     std::uint32_t output_tokens = 4'096; ///< Cap on a request's max_tokens.
     std::chrono::milliseconds usage_flush{60'000}; ///< Between flushes of usage.
     std::chrono::milliseconds lease{3'000};        ///< Of an attempt that is not renewed.
