--- a/src/core/usage_ledger.cpp
+++ b/src/core/usage_ledger.cpp
@@ -207,14 +207,14 @@
                                          usage_hour_number to)
 {
     usage_history history;
-    for (std::uint64_t day = from / hours_per_day; day * hours_per_day < to; ++day)
+    const auto folded = this->store->list(formatted("usage/day/%02u/", shard));
+    if (!folded)
     {
-        const auto record = read_or_empty(*this->store, day_key(day, shard));
-        if (!record)
-        {
-            return tl::unexpected<error>(record.error());
-        }
-        auto hours = parse_day(record->value);
+        return tl::unexpected<error>(folded.error());
+    }
+    for (const object_record& record : *folded)
+    {
+        auto hours = parse_day(record.value);
         if (!hours)
         {
             return hours;
