--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -40,6 +40,12 @@
 struct workspace_service;
 class service_watch;
 
+// Money.
+struct calendar_month;
+struct hourly_amount;
+struct forecast_query;
+struct month_forecast;
+
 // Shared state.
 template <typename T>
 class published;
@@ -101,6 +107,7 @@
 enum class backend_kind : std::uint8_t;
 struct attempt_id;
 struct load_report;
+class retry_budget;
 
 // The work of one backend server.
 class agent_scheduler;
--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -49,6 +49,10 @@
 /// \brief Commands on the configuration: workspaces, keys, pools, routes.
 [[nodiscard]] std::span<const command> config_commands() noexcept;
 
+/// \brief Commands that list and show sections of the configuration, its history, and
+/// what a patch would change.
+[[nodiscard]] std::span<const command> section_commands() noexcept;
+
 /// \brief Prints an error; returns the exit code that goes with it.
 int report(const error& fault);
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -45,7 +45,7 @@
 std::vector<command> all_commands()
 {
     std::vector<command> all;
-    for (const std::span<const command> group : {config_commands()})
+    for (const std::span<const command> group : {config_commands(), section_commands()})
     {
         all.insert(all.end(), group.begin(), group.end());
     }
@@ -113,6 +113,12 @@
     add("rate", "", cxxopts::value<double>());
     add("burst", "", cxxopts::value<double>());
     add("weight", "", cxxopts::value<double>());
+    add("note", "", cxxopts::value<std::string>());
+    add("model", "", cxxopts::value<std::string>());
+    add("prefix", "", cxxopts::value<std::string>());
+    add("pool", "", cxxopts::value<std::string>());
+    add("repeatable", "", cxxopts::value<bool>());
+    add("json", "");
     add("help", "");
     add("version", "");
     add("words", "", cxxopts::value<std::vector<std::string>>());
--- a/src/daemon/agent_context.hpp
+++ b/src/daemon/agent_context.hpp
@@ -2,49 +2,25 @@
 #pragma once
 
 #include <atomic>
-#include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
 #include <agateseam/clock.hpp>
 #include <agateseam/request.hpp>
 #include <agateseam/work_estimator.hpp>
+#include <daemon/attempt_table.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/settings.hpp>
 #include <daemon/slot_service.hpp>
+#include <daemon/telemetry.hpp>
 #include <net/http_client.hpp>
 
 namespace agateseam
 {
 
-/// \brief The outcome of an attempt, kept for a while after its end.
-struct attempt_record
-{
-    bool ended = false;
-    run_state run = run_state::unknown;
-    time_point when; ///< Its begin, then its end.
-};
-
-/// \brief Runs each attempt at most once, and remembers what became of it.
-class attempt_table
-{
-  public:
-    /// \returns whether the attempt is new.
-    [[nodiscard]] bool begin(const attempt_id& id, time_point now);
-    void end(const attempt_id& id, run_state run, time_point now);
-    [[nodiscard]] result<attempt_record> find(const attempt_id& id) const;
-
-    /// \brief Drops the attempts that ended before a time.
-    void forget_before(time_point limit);
-
-  private:
-    mutable std::mutex mutex;
-    std::map<attempt_id, attempt_record> records;
-};
-
 /// \brief A part of an agent's work that wants a call at each heartbeat.
 class heartbeat_listener
 {
@@ -76,9 +52,13 @@
     /// \returns whether the engine runs nothing of that kind any more.
     [[nodiscard]] bool reconcile();
 
-    /// \brief Tells the engine to cancel an attempt; a failure is logged.
+    /// \brief Tells the engine to cancel an attempt, again at each heartbeat until it has
+    /// confirmed or has gone.
     void abort_at_engine(const std::string& engine_id);
 
+    /// \brief Takes no work while the backend server refuses connections.
+    void note_backend(const error& fault);
+
     /// \brief Calls the listener at each heartbeat until it is destroyed.
     void listen(std::weak_ptr<heartbeat_listener> listener);
     void beat();
@@ -87,9 +67,11 @@
     steady_clock_source time;
     attempt_table attempts;
     std::atomic<bool> leaving{false};
-    std::atomic<bool> ready{false};   ///< Whether the engine was reconciled.
-    std::atomic<std::size_t> open{0}; ///< Attempts under way.
+    std::atomic<bool> ready{false}; ///< Reachable, and holds nothing from before.
+    std::atomic<std::uint64_t> events_dropped{0}; ///< Of other requests' answers.
+    std::atomic<std::size_t> open{0};             ///< Attempts under way.
     work_estimator estimator;
+    std::unique_ptr<process_telemetry> telemetry;
     std::unique_ptr<slot_service> slots; ///< Of a model engine; the attempts' leases.
     std::unique_ptr<http_client> client;
 
@@ -101,6 +83,7 @@
     std::uint64_t incarnation = 0;
     std::mutex mutex;
     std::vector<std::weak_ptr<heartbeat_listener>> listeners;
+    std::set<std::string> unconfirmed_aborts; ///< Ids at the engine.
 };
 
 /// \brief Serves a decode order as a stream: prefill elsewhere, KV transfer, decode here.
--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <daemon/api_error.hpp>
+#include <daemon/attempt_meter.hpp>
 #include <daemon/server_sent_events.hpp>
 
 namespace agateseam
@@ -15,6 +16,18 @@
 
 constexpr int status_ok = 200;
 
+/// Tells whether an engine's id for an answer was made of a request's id.
+bool names_request(std::string_view text, std::string_view id) noexcept
+{
+    const std::size_t at = text.find(id);
+    if (at == std::string_view::npos)
+    {
+        return false;
+    }
+    const std::string_view rest = text.substr(at + id.size());
+    return rest.empty() || rest.front() < '0' || rest.front() > '9';
+}
+
 /// One decode order: waits for a slot, then holds it until its end.
 class decode_attempt final : public heartbeat_listener,
                              public slot_owner,
@@ -27,13 +40,17 @@
         : context(&shared)
         , exchange(std::move(relay))
         , order(std::move(accepted))
+        , meter(*shared.telemetry, this->order)
         , delivered(order.resume_from)
     {
         ++this->context->open;
+        this->meter.note(event_kind::queued);
     }
 
     ~decode_attempt() override
     {
+        this->meter.end();
+        this->meter.note(event_kind::released);
         this->context->slots->release(this->order.id, this->output_cost());
         --this->context->open;
     }
@@ -59,8 +76,11 @@
             this->refuse(queued.error());
             return;
         }
-        this->exchange->begin_stream(status_ok, {{"Content-Type", "text/event-stream"},
-                                                 this->context->load_header()});
+        this->exchange->begin_stream(
+            status_ok, {{"Content-Type", "text/event-stream"},
+                        {std::string(headers::answer), to_text(this->order.id)},
+                        this->context->load_header(),
+                        this->context->telemetry->stamp_header()});
         const std::weak_ptr<decode_attempt> weak = this->weak_from_this();
         this->exchange->on_gone(
             [weak]
@@ -78,6 +98,7 @@
         switch (event.kind)
         {
         case slot_event_kind::granted:
+            this->meter.note(event_kind::slot_taken);
             this->start_prefill();
             break;
         case slot_event_kind::started:
@@ -142,6 +163,7 @@
         }
         else if (!outcome)
         {
+            this->context->note_backend(outcome.error());
             this->end(run_state::ran, outcome.error());
         }
         else
@@ -196,10 +218,7 @@
                             this->deadline - this->context->time.now()));
     }
 
-    [[nodiscard]] std::string engine_id() const
-    {
-        return this->order.id.request + "." + std::to_string(this->order.id.attempt);
-    }
+    [[nodiscard]] std::string engine_id() const { return to_text(this->order.id); }
 
     /// Starts the next call, unless the relay has gone meanwhile.
     template <typename Start>
@@ -223,7 +242,8 @@
         prefill.total_timeout = this->order.deadline;
         prefill.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
-            {std::string(headers::attempt), to_text(this->order)}};
+            {std::string(headers::attempt), to_text(this->order)},
+            this->context->telemetry->stamp_header()};
         prefill.body = this->body.dump();
         this->next_call(
             [&]
@@ -254,6 +274,8 @@
         this->context->estimator.note_lead(this->order.prompt_tokens,
                                            this->context->time.now() - this->lead_begin);
         this->prefill_usage = answer.value("usage", json::object());
+        this->context->telemetry->take_stamp(reply->headers);
+        this->meter.prefilled(*reply, this->prefill_usage);
         this->body["kv_transfer_params"] = answer["kv_transfer_params"];
         if (!this->context->slots->start(this->order.id, this->shared_from_this()))
         {
@@ -271,6 +293,7 @@
         {
             this->body["resume_from"] = this->order.resume_from;
         }
+        this->meter.engine_begun();
         http_call decode;
         decode.method = "POST";
         decode.url = this->context->settings.backend.url + this->order.path;
@@ -308,17 +331,17 @@
 
     void relay_chunk(const server_sent_event& event)
     {
-        const json chunk = json::parse(event.data);
+        json chunk = json::parse(event.data);
+        if (this->crossed(chunk))
+        {
+            ++this->context->events_dropped;
+            return;
+        }
         const json usage = chunk.value("usage", json());
         const json choices = chunk.value("choices", json::array());
         if (!choices.empty())
         {
-            if (carries_token(choices[0]))
-            {
-                this->count_token();
-            }
-            const std::string number = std::to_string(this->delivered);
-            this->exchange->write(to_text({"", number, event.data}));
+            this->relay_choice(chunk, choices[0]);
         }
         if (usage.is_object())
         {
@@ -326,6 +349,39 @@
         }
     }
 
+    /// Tells whether a chunk answers another request.
+    [[nodiscard]] bool crossed(const json& chunk) const
+    {
+        return this->context->settings.backend.echoes_request_id &&
+               !names_request(chunk.value("id", ""), this->engine_id());
+    }
+
+    /// One id stands over the whole answer, also after a resumption.
+    void relay_choice(json& chunk, const json& choice)
+    {
+        const bool token = carries_token(choice);
+        const bool last = choice.value("finish_reason", json()).is_string();
+        if (!token && !last && this->order.resume_from > 0)
+        {
+            return;
+        }
+        if (token)
+        {
+            this->count_token();
+            this->meter.token(true);
+        }
+        chunk["id"] = this->order.id.request;
+        const std::string_view name = last ? "finish" : "";
+        const std::string number = token ? this->event_id() : "";
+        this->exchange->write(to_text({name, number, chunk.dump()}));
+    }
+
+    [[nodiscard]] std::string event_id() const
+    {
+        return std::to_string(this->order.id.attempt) + "." +
+               std::to_string(this->delivered);
+    }
+
     void count_token()
     {
         this->last_token = this->context->time.now();
@@ -339,8 +395,7 @@
     {
         usage["prompt_tokens_details"] =
             this->prefill_usage.value("prompt_tokens_details", json::object());
-        const std::string number = std::to_string(this->delivered);
-        this->exchange->write(to_text({"usage", number, usage.dump()}));
+        this->exchange->write(to_text({"usage", "", usage.dump()}));
     }
 
     [[nodiscard]] static bool carries_token(const json& choice)
@@ -359,9 +414,14 @@
         http_client::call_id running = 0;
         {
             const std::scoped_lock hold(this->mutex);
+            if (this->given_up)
+            {
+                return;
+            }
             this->given_up = true;
             running = this->call;
         }
+        this->meter.cancelled();
         this->context->attempts.end(this->order.id, run_state::ran,
                                     this->context->time.now());
         this->context->abort_at_engine(this->engine_id());
@@ -393,6 +453,9 @@
     {
         this->context->slots->release(this->order.id, this->output_cost());
         this->context->attempts.end(this->order.id, run, this->context->time.now());
+        this->meter.end();
+        const std::string stamp = this->context->telemetry->stamp_header().second;
+        this->exchange->write(to_text({"stamp", "", stamp}));
         this->exchange->finish();
     }
 
@@ -402,6 +465,7 @@
     json body;
     json prefill_usage;
     event_splitter events;
+    attempt_meter meter;
     std::atomic<std::uint32_t> delivered; ///< Output tokens, with those resumed from.
     time_point deadline;                  ///< For the first token.
     time_point lead_begin;
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -7,6 +7,7 @@
 
 #include <agateseam/impl/config_index.hpp>
 #include <daemon/api_error.hpp>
+#include <daemon/operator_reports.hpp>
 
 namespace agateseam
 {
@@ -120,7 +121,7 @@
     {
         wanted.id = context.next_request_id();
     }
-    wanted.note = request.query_argument("note");
+    wanted.note = request.header("x-patch-note");
     wanted.format = request.header("Content-Type").starts_with(json_patch_type)
                         ? patch_format::json_patch
                         : patch_format::merge_patch;
@@ -177,6 +178,9 @@
                 "the operator token is missing or wrong"},
                run_state::not_run);
     }
+    else if (serve_report(context, exchange))
+    {
+    }
     else if (request.path == "/operator/config" && reads)
     {
         get_config(context, *exchange);
--- a/src/daemon/slot_service.hpp
+++ b/src/daemon/slot_service.hpp
@@ -58,6 +58,9 @@
     /// \brief Ends an attempt in any state; a repeat changes nothing.
     void release(const attempt_id& id, double used);
 
+    /// \brief Tells an attempt's owner that its lease has ended.
+    void end(const attempt_id& id);
+
     /// \brief Takes no more work and refuses what waits.
     void drain();
 
