--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds call_limit{10'000};
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
+constexpr int status_timeout = 504;
+constexpr int lost_answer_repeats = 3;
 
 std::string new_patch_id()
 {
@@ -20,13 +22,24 @@
     return std::to_string(source()) + "-" + std::to_string(source());
 }
 
+/// Tells whether the outcome is unknown, so that the same patch has to be sent again.
+bool lost(const result<json>& answer)
+{
+    return !answer && (answer.error().code == error_code::timeout ||
+                       answer.error().code == error_code::broken);
+}
+
 error refusal(const http_reply& reply, const std::string& peer)
 {
     const json body = json::parse(reply.body, nullptr, false);
     const json fault =
         body.is_object() ? body.value("error", json::object()) : json::object();
-    const error_code code =
-        reply.status == status_conflict ? error_code::conflict : error_code::invalid;
+    error_code code = error_code::invalid;
+    if (reply.status == status_conflict || reply.status == status_timeout)
+    {
+        code =
+            reply.status == status_conflict ? error_code::conflict : error_code::timeout;
+    }
     return {code, fault.value("step", "call"), peer,
             fault.value("message", "status " + std::to_string(reply.status))};
 }
@@ -47,7 +60,7 @@
     return made;
 }
 
-result<numbered_document> operator_client::call(http_call request) const
+result<json> operator_client::call(http_call request) const
 {
     request.step = "operator";
     request.total_timeout = call_limit;
@@ -66,27 +79,51 @@
     {
         return fail(error_code::broken, "operator", this->url, "the answer is not JSON");
     }
-    return numbered_document{body.value("number", std::uint64_t{0}),
-                             body.value("document", json::object())};
+    return body;
+}
+
+numbered_document operator_client::to_document(const json& body)
+{
+    return {body.value("number", std::uint64_t{0}),
+            body.value("document", json::object())};
 }
 
 result<numbered_document> operator_client::config() const
 {
     http_call request;
     request.url = this->url + "/operator/config";
-    return this->call(std::move(request));
+    return this->call(std::move(request)).map(to_document);
 }
 
-result<numbered_document> operator_client::patch(std::uint64_t against,
-                                                 const json& merge_patch) const
+result<json> operator_client::history() const
+{
+    http_call request;
+    request.url = this->url + "/operator/config/history";
+    return this->call(std::move(request))
+        .map([](const json& body) { return body.value("changes", json::array()); });
+}
+
+result<numbered_document> operator_client::patch(std::uint64_t against, const json& patch,
+                                                 const std::string& note) const
 {
     http_call request;
     request.method = "PATCH";
     request.url = this->url + "/operator/config?against=" + std::to_string(against);
     request.headers = {{"x-patch-id", new_patch_id()},
-                       {"Content-Type", "application/json"}};
-    request.body = merge_patch.dump();
-    return this->call(std::move(request));
+                       {"Content-Type", patch.is_array()
+                                            ? "application/json-patch+json"
+                                            : "application/merge-patch+json"}};
+    if (!note.empty())
+    {
+        request.headers.emplace_back("x-patch-note", note);
+    }
+    request.body = patch.dump();
+    auto answer = this->call(request);
+    for (int repeat = 0; repeat < lost_answer_repeats && lost(answer); ++repeat)
+    {
+        answer = this->call(request);
+    }
+    return answer.map(to_document);
 }
 
 result<std::string> operator_client::page(const std::string& path) const
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -121,7 +121,7 @@
     {
         wanted.id = context.next_request_id();
     }
-    wanted.note = request.query_argument("note");
+    wanted.note = request.header("x-patch-note");
     wanted.format = request.header("Content-Type").starts_with(json_patch_type)
                         ? patch_format::json_patch
                         : patch_format::merge_patch;
--- a/tests/process/claims_test.py
+++ b/tests/process/claims_test.py
@@ -120,6 +120,11 @@
             self.check(answer[1] != "ran" or runs == 1, f"false ran: {answer}")
         self.check(any(answer[0] == 200 for answer in answers),
                    f"some get through while answers are lost: {answers}")
+        # Failures in a row open the breaker, for 2 s at most once the store is well.
+        for entry in range(len(self.fleet.entries)):
+            key = f"after-lost-{entry}"
+            wait_for(lambda: self.book(key, entry)[0] == 200, "entry to claim again", 5)
+            self.check(self.runs(key) == 1, f"{key} ran once")
 
     def service_dies_after_run(self):
         for name in self.services():
