--- /dev/null
+++ b/tests/process/chaos_test.py
@@ -0,0 +1,19 @@
+"""A short fault run with a fixed seed: every invariant must hold from outside."""
+
+import os
+import subprocess
+import sys
+
+SCRIPTS = os.path.join(os.path.dirname(os.path.abspath(__file__)), "../../scripts/lib")
+SEED, SECONDS = "2", "15"
+
+
+def main():
+    done = subprocess.run([sys.executable, os.path.join(SCRIPTS, "chaos.py"), sys.argv[1],
+                           "--seed", SEED, "--seconds", SECONDS, "--callers", "8"],
+                          timeout=100)
+    return done.returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
