--- a/src/daemon/config_controller.cpp
+++ b/src/daemon/config_controller.cpp
@@ -178,6 +178,8 @@
         const auto view = this->context->board.config.read();
         this->context->keys.check(*view);
     }
+    this->context->telemetry->events.add(
+        {event_kind::config_in_force, "", 0, "", "", static_cast<std::int64_t>(number)});
     this->context->relay->in_force(number);
     this->context->peers->publish(std::make_shared<const config_state>(std::move(state)));
     log_line(log_level::info, "configuration in force",
