--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -8,8 +8,10 @@
 namespace
 {
 
-constexpr std::uint32_t most_attempts = 3;
+constexpr std::uint32_t most_attempts = 6;
+constexpr double promise_risk = 0.1;
 constexpr double renew_interval = 1; // seconds
+constexpr double list_lag = 5;       // seconds
 constexpr double silence_limit = 2;  // seconds
 
 std::chrono::nanoseconds to_span(double seconds)
@@ -27,6 +29,7 @@
     scheduler_options options;
     options.slots = prefill ? 1 : plan.slots;
     options.kv_lifetime = to_span(kv_lifetime);
+    options.promise_risk = prefill ? 0 : promise_risk;
     return options;
 }
 
@@ -148,7 +151,8 @@
     if (!choice)
     {
         request.open = false;
-        request.outcome->refusal = "no_agent";
+        request.outcome->refusal =
+            request.last_refusal.empty() ? "no_agent" : request.last_refusal;
         return;
     }
     this->prefer_session(*choice, entry, request);
@@ -201,6 +205,7 @@
         return;
     }
     request.excluded.push_back(vm);
+    request.last_refusal = reason;
     const bool late =
         request.delivered == 0 && this->events.now() > this->latest_start(request);
     if (request.attempt >= most_attempts || late)
@@ -304,6 +309,10 @@
 void policy_run::lose_agent(std::uint32_t agent)
 {
     this->agents[agent].lost = true;
+    if (!this->plan->list_frozen)
+    {
+        this->events.after(list_lag, [this, agent] { this->list_as_leaving(agent); });
+    }
     std::vector<std::uint64_t> hit;
     for (auto& [number, request] : this->live)
     {
@@ -334,6 +343,15 @@
     }
 }
 
+/// The platform's list has caught up: the VM is known to be gone.
+void policy_run::list_as_leaving(std::uint32_t agent)
+{
+    for (modelled_entry& entry : this->entries)
+    {
+        entry.members.all[agent]->leaving = true;
+    }
+}
+
 void policy_run::waste(live_request& request)
 {
     this->outcome.wasted_tokens += request.computed;
--- a/bench/policy_run.hpp
+++ b/bench/policy_run.hpp
@@ -33,6 +33,7 @@
     double prefill_end = 0;   ///< When its result was ready.
     double decode_begin = -1; ///< When its first token was due; below 0 before.
     std::vector<std::string> excluded;
+    std::string last_refusal;
 };
 
 /// \brief An agent with its engine.
@@ -102,6 +103,7 @@
     // Both.
     void drive(std::uint32_t agent);
     void lose_agent(std::uint32_t agent);
+    void list_as_leaving(std::uint32_t agent);
     void waste(live_request& request);
     void free_slot(std::uint32_t agent, const live_request& request, double used);
     [[nodiscard]] live_request* find(std::uint32_t agent, const attempt_id& id);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -45,7 +45,9 @@
 std::vector<command> all_commands()
 {
     std::vector<command> all;
-    for (const std::span<const command> group : {config_commands(), section_commands()})
+    for (const std::span<const command> group :
+         {config_commands(), section_commands(), usage_commands(), status_commands(),
+          timeline_commands()})
     {
         all.insert(all.end(), group.begin(), group.end());
     }
@@ -118,7 +120,16 @@
     add("prefix", "", cxxopts::value<std::string>());
     add("pool", "", cxxopts::value<std::string>());
     add("repeatable", "", cxxopts::value<bool>());
+    for (const char* name : {"month", "workspace", "request", "vm", "history"})
+    {
+        add(name, "", cxxopts::value<std::string>());
+    }
+    add("since", "", cxxopts::value<double>());
+    add("rounds", "", cxxopts::value<int>());
+    add("file", "", cxxopts::value<std::vector<std::string>>());
     add("json", "");
+    add("csv", "");
+    add("html", "");
     add("help", "");
     add("version", "");
     add("words", "", cxxopts::value<std::vector<std::string>>());
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -47,10 +47,10 @@
         this->renewals.reset();
         this->config.reset();
         this->members.reset();
-        this->server.reset();
+        this->context->allowance->stop();
         this->collector.reset();
         this->context->claims->stop();
-        this->context->client.reset();
+        this->context->client->stop();
     }
     entry(const entry&) = delete;
     entry& operator=(const entry&) = delete;
@@ -123,6 +123,10 @@
         {
             this->queue_operator(std::move(exchange));
         }
+        else if (path == "/rpc")
+        {
+            this->serve_rpc(*exchange);
+        }
         else if (path == "/peer/config")
         {
             this->serve_peer(std::move(exchange));
@@ -154,6 +158,21 @@
                this->context->board.config.read() && this->context->board.members.read();
     }
 
+    /// Serves the other entries' calls about shares.
+    void serve_rpc(http_exchange& exchange)
+    {
+        if (!equal_secrets(exchange.request().header(headers::fleet),
+                           this->context->settings.fleet_secret))
+        {
+            respond(exchange, to_api_error({error_code::unauthorized, "rpc", "",
+                                            "the fleet secret is missing or wrong"},
+                                           run_state::not_run));
+            return;
+        }
+        exchange.respond(200, {{"Content-Type", "application/json"}},
+                         this->context->allowance->serve(exchange.request().body));
+    }
+
     void serve_peer(std::shared_ptr<http_exchange> exchange)
     {
         if (!equal_secrets(exchange->request().header(headers::fleet),
--- a/src/daemon/entry_context.cpp
+++ b/src/daemon/entry_context.cpp
@@ -85,13 +85,15 @@
     }
     context->relay = std::move(*relay);
     context->peers = std::make_unique<config_peers>(context->time, *context->relay);
-    auto allowance = static_admission::create(context->time, 0);
+    auto allowance = share_controller::create(context->time, settings.vm,
+                                              context->incarnation, settings.fleet_secret,
+                                              *context->client, *context->store);
     if (!allowance)
     {
         return tl::unexpected<error>(allowance.error());
     }
     context->allowance = std::move(*allowance);
-    context->placer = make_least_load_placement();
+    context->placer = make_weighted_placement(context->incarnation);
     auto retries = retry_budget::create(settings.limits.retry_ratio, retries_saved);
     if (!retries)
     {
--- a/src/daemon/entry_context.hpp
+++ b/src/daemon/entry_context.hpp
@@ -15,7 +15,6 @@
 #include <agateseam/placement.hpp>
 #include <agateseam/published.hpp>
 #include <agateseam/retry_budget.hpp>
-#include <agateseam/static_admission.hpp>
 #include <agateseam/store_budget.hpp>
 #include <daemon/config_peers.hpp>
 #include <daemon/key_watch.hpp>
@@ -23,6 +22,7 @@
 #include <daemon/open_attempts.hpp>
 #include <daemon/path_counters.hpp>
 #include <daemon/settings.hpp>
+#include <daemon/share_controller.hpp>
 #include <daemon/telemetry.hpp>
 #include <net/http_client.hpp>
 
@@ -95,7 +95,7 @@
     std::unique_ptr<config_relay> relay;
     std::unique_ptr<config_peers> peers;
     key_watch keys;
-    std::unique_ptr<static_admission> allowance;
+    std::unique_ptr<share_controller> allowance;
     std::unique_ptr<placement> placer;
     std::unique_ptr<retry_budget> retries;
     open_attempts attempts;
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -77,10 +77,15 @@
             return;
         }
         this->parts = std::move(*read);
-        if (!this->find_pool() || !this->admit())
+        if (this->find_pool())
         {
-            return;
+            this->admit();
         }
+    }
+
+    /// Goes on once the tokens are reserved.
+    void admitted()
+    {
         this->id = this->context->next_request_id();
         this->meter.admitted(this->id, this->workspace, this->pool, this->policy,
                              this->parts.prompt_tokens);
@@ -159,16 +164,13 @@
         {
             this->try_again(*this->failure);
         }
-        else if (!outcome && outcome.error().code == error_code::timeout)
+        else if (!outcome && outcome.error().code == error_code::unavailable)
         {
-            this->probe(outcome.error());
+            this->try_again({run_state::not_run, outcome.error()});
         }
         else if (!outcome)
         {
-            this->end_at_agent();
-            const bool refused = outcome.error().code == error_code::unavailable;
-            this->try_again(
-                {refused ? run_state::not_run : run_state::unknown, outcome.error()});
+            this->probe(outcome.error());
         }
         else
         {
@@ -198,10 +200,14 @@
         end_attempt(*this->context, this->decode_address, this->current());
     }
 
-    /// A silent stream is no verdict on its server: asks it over a new connection.
-    void probe(const error& silence)
+    /// A silent or broken stream is no verdict on its server: asks it over a new
+    /// connection.
+    void probe(const error& fault)
     {
-        ++this->context->counters.streams_silent;
+        if (fault.code == error_code::timeout)
+        {
+            ++this->context->counters.streams_silent;
+        }
         http_call call;
         call.url = "http://" + this->decode_address + "/agent/attempts/" + this->id +
                    "/" + std::to_string(this->attempt);
@@ -212,10 +218,10 @@
             {std::string(headers::fleet), this->context->settings.fleet_secret}};
         this->context->client->fetch_async(
             std::move(call),
-            [self = this->shared_from_this(), silence](const result<http_reply>& reply)
+            [self = this->shared_from_this(), fault](const result<http_reply>& reply)
             {
                 self->end_at_agent();
-                self->try_again({run_state::unknown, silence},
+                self->try_again({run_state::unknown, fault},
                                 reply ? verdict::alive : verdict::suspect);
             });
     }
@@ -253,30 +259,39 @@
         return false;
     }
 
-    [[nodiscard]] bool admit()
+    void admit()
     {
         const double wanted =
             double{0} + this->parts.prompt_tokens + this->parts.output_tokens;
-        const admission_decision decision =
-            this->context->allowance->reserve(this->workspace, wanted);
+        this->context->allowance->ask(
+            this->workspace, wanted,
+            [self = this->shared_from_this(), wanted](const admission_decision& decision)
+            { self->decided(decision, wanted); });
+    }
+
+    void decided(const admission_decision& decision, double wanted)
+    {
         this->limit = decision.limit;
         this->remaining = decision.remaining;
-        if (!decision.admitted)
-        {
-            api_error refused;
-            refused.status = 429;
-            refused.code = "rate_limit_exceeded";
-            refused.step = "admit";
-            refused.message = "the workspace's allowance is used up";
-            refused.retry_after =
-                std::max(milliseconds(1'000),
-                         std::chrono::duration_cast<milliseconds>(decision.retry_after));
-            this->meter.refused(error_code::exhausted, this->workspace);
-            this->refuse(refused);
-            return false;
+        if (decision.admitted)
+        {
+            this->reserved = wanted;
+            this->admitted();
+            return;
         }
-        this->reserved = wanted;
-        return true;
+        api_error refused;
+        refused.status = decision.known ? 429 : 503;
+        refused.code = decision.known ? "rate_limit_exceeded" : "unavailable";
+        refused.step = "admit";
+        refused.message = decision.known ? "the workspace's allowance is used up"
+                                         : "the allowance's home cannot be reached";
+        refused.retry_after =
+            std::max(milliseconds(1'000),
+                     std::chrono::duration_cast<milliseconds>(decision.retry_after));
+        this->meter.refused(decision.known ? error_code::exhausted
+                                           : error_code::unavailable,
+                            this->workspace);
+        this->refuse(refused);
     }
 
     /// Tells whether the key was withdrawn and the request has to end for it.
@@ -352,12 +367,12 @@
         call.step = "decode";
         call.silent_timeout = this->context->settings.limits.silence;
         call.total_timeout = this->context->settings.limits.request;
+        this->meter.sent(this->attempt, this->decode_vm, this->delivered);
         call.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
             {std::string(headers::attempt), to_text(order)},
             this->context->telemetry->stamp_header()};
         call.body = this->body;
-        this->meter.sent(this->attempt, this->decode_vm, this->delivered);
         this->start_call(std::move(call));
     }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -85,6 +85,9 @@
     /// \brief Ends a call early: its connection closes and the sink hears `cancelled`.
     virtual void cancel(call_id call) = 0;
 
+    /// \brief Ends all calls as cancelled; calls started later are dropped unheard.
+    virtual void stop() = 0;
+
     /// \brief Calls and hands over the whole answer on the client's thread.
     call_id fetch_async(http_call call, std::function<void(result<http_reply>)> done);
 
