Orders to engines: the agent refuses old generations itself

Cause: some engines take an order with an old generation. Change: POST /agent/order passes an order on unless a newer one came before.

--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -116,6 +116,10 @@
         {
             this->renew(*exchange);
         }
+        else if (path == "/agent/order")
+        {
+            this->pass_order(exchange);
+        }
         else if (path.starts_with(attempts_path))
         {
             this->tell_outcome(*exchange);
@@ -209,6 +213,57 @@
                          lease_reply_text(unknown));
     }
 
+    /// Passes an order on to the engine, unless its generation is older than one before:
+    /// some engines do not look.
+    void pass_order(const std::shared_ptr<http_exchange>& exchange)
+    {
+        const auto body = nlohmann::json::parse(exchange->request().body, nullptr, false);
+        const auto stated =
+            body.is_object() ? body.value("generation", nlohmann::json()) : body;
+        if (!stated.is_number_unsigned())
+        {
+            respond(*exchange, to_api_error({error_code::invalid, "receive order", "",
+                                             "an order states its generation"},
+                                            run_state::not_run));
+        }
+        else if (!this->context->accept_generation(stated.get<std::uint64_t>()))
+        {
+            respond(*exchange, to_api_error({error_code::conflict, "receive order",
+                                             this->context->settings.vm,
+                                             "the order's generation is old"},
+                                            run_state::not_run));
+        }
+        else
+        {
+            this->send_to_engine(exchange);
+        }
+    }
+
+    void send_to_engine(const std::shared_ptr<http_exchange>& exchange)
+    {
+        http_call call;
+        call.method = "POST";
+        call.url = this->context->settings.backend.url + "/orders";
+        call.step = "order";
+        call.total_timeout = this->context->settings.limits.first_token;
+        call.fresh_connection = true;
+        call.body = exchange->take_body();
+        this->context->client->fetch_async(
+            std::move(call),
+            [exchange](const result<http_reply>& reply)
+            {
+                if (reply)
+                {
+                    exchange->respond(reply->status, {}, reply->body);
+                    return;
+                }
+                const bool refused = reply.error().code == error_code::unavailable;
+                respond(*exchange,
+                        to_api_error(reply.error(),
+                                     refused ? run_state::not_run : run_state::unknown));
+            });
+    }
+
     /// Answers what became of REQUEST/ATTEMPT.
     void tell_outcome(http_exchange& exchange)
     {
--- a/src/daemon/agent_context.cpp
+++ b/src/daemon/agent_context.cpp
@@ -125,6 +125,19 @@
                               });
 }
 
+bool agent_context::accept_generation(std::uint64_t stated)
+{
+    std::uint64_t newest = this->generation.load();
+    do
+    {
+        if (stated < newest)
+        {
+            return false;
+        }
+    } while (!this->generation.compare_exchange_weak(newest, stated));
+    return true;
+}
+
 void agent_context::note_backend(const error& fault)
 {
     if (fault.code == error_code::unavailable)
--- a/src/daemon/agent_context.hpp
+++ b/src/daemon/agent_context.hpp
@@ -56,6 +56,10 @@
     /// confirmed or has gone.
     void abort_at_engine(const std::string& engine_id);
 
+    /// \brief Takes over an order's generation.
+    /// \returns false when a newer one came before.
+    [[nodiscard]] bool accept_generation(std::uint64_t stated);
+
     /// \brief Takes no work while the backend server refuses connections.
     void note_backend(const error& fault);
 
@@ -81,6 +85,7 @@
     std::atomic<std::uint32_t> used{0};
     std::atomic<std::uint64_t> sequence{0};
     std::uint64_t incarnation = 0;
+    std::atomic<std::uint64_t> generation{0}; ///< The newest of an order.
     std::mutex mutex;
     std::vector<std::weak_ptr<heartbeat_listener>> listeners;
     std::set<std::string> unconfirmed_aborts; ///< Ids at the engine.
