--- a/src/cli/config_commands.cpp
+++ b/src/cli/config_commands.cpp
@@ -35,7 +35,14 @@
 int apply(const command_line& line, const json& patch)
 {
     const auto against = line.against();
-    return against ? print(line.client.patch(*against, patch)) : report(against.error());
+    if (!against)
+    {
+        return report(against.error());
+    }
+    const std::string note = line.arguments.count("note") > 0
+                                 ? line.arguments["note"].as<std::string>()
+                                 : std::string{};
+    return print(line.client.patch(*against, patch, note));
 }
 
 int patch_config(const command_line& line)
@@ -126,7 +133,8 @@
 
 constexpr std::array commands{
     command{"config get", "", "print the configuration and its number", 2, get_config},
-    command{"config patch", "FILE [--against N]", "apply a JSON merge patch", 3,
+    command{"config patch", "FILE [--against N] [--note TEXT]",
+            "apply a merge patch, or a JSON Patch if the file holds a list", 3,
             patch_config},
     command{"workspace set", "NAME [--rate R] [--burst B] [--weight W]",
             "make or change a workspace", 3, set_workspace},
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -46,7 +46,8 @@
 {
     std::vector<command> all;
     for (const std::span<const command> group :
-         {config_commands(), usage_commands(), status_commands(), timeline_commands()})
+         {config_commands(), section_commands(), usage_commands(), status_commands(),
+          timeline_commands()})
     {
         all.insert(all.end(), group.begin(), group.end());
     }
@@ -124,6 +125,11 @@
     add("json", "");
     add("csv", "");
     add("html", "");
+    add("note", "", cxxopts::value<std::string>());
+    add("model", "", cxxopts::value<std::string>());
+    add("prefix", "", cxxopts::value<std::string>());
+    add("pool", "", cxxopts::value<std::string>());
+    add("repeatable", "", cxxopts::value<bool>());
     add("help", "");
     add("version", "");
     add("words", "", cxxopts::value<std::vector<std::string>>());
--- a/src/cli/operator_client.hpp
+++ b/src/cli/operator_client.hpp
@@ -30,9 +30,14 @@
     /// \brief Reads the current configuration.
     [[nodiscard]] result<numbered_document> config() const;
 
-    /// \brief Applies a merge patch made against a number.
-    [[nodiscard]] result<numbered_document>
-    patch(std::uint64_t against, const nlohmann::json& merge_patch) const;
+    /// \brief Applies a patch made against a number: a JSON Patch if it is a list, else a
+    /// merge patch. Asks again under the same id when the answer was lost.
+    [[nodiscard]] result<numbered_document> patch(std::uint64_t against,
+                                                  const nlohmann::json& patch,
+                                                  const std::string& note = "") const;
+
+    /// \brief Reads the recent patches, oldest first.
+    [[nodiscard]] result<nlohmann::json> history() const;
 
     /// \brief Reads a page of the operator interface.
     /// \param path with its query, such as "/operator/processes".
@@ -44,7 +49,8 @@
   private:
     operator_client() = default;
 
-    [[nodiscard]] result<numbered_document> call(http_call request) const;
+    [[nodiscard]] result<nlohmann::json> call(http_call request) const;
+    [[nodiscard]] static numbered_document to_document(const nlohmann::json& body);
 
     std::string url;
     std::string token;
