No answer goes past the tokens that were reserved

The agent writes the limit into the engine's request, and the entry drops what goes past it. Also: tokens of an answer that is not streamed counted as delivered while they were still being gathered, and a streamed one before it was written; the proof of the allowance counts them after.

--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -291,6 +291,8 @@
     void start_decode()
     {
         this->body["stream"] = true;
+        this->body.erase("max_completion_tokens");
+        this->body["max_tokens"] = this->order.output_tokens;
         this->body["stream_options"] = {{"include_usage", true}};
         if (this->order.resume_from > 0)
         {
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -447,9 +447,9 @@
                                                  this->decode_vm, "a token is missing"}};
                 return false;
             }
-            this->deliver_token();
+            return this->pass_token(event);
         }
-        else if (event.name == "finish" && this->finished)
+        if (event.name == "finish" && this->finished)
         {
             return true;
         }
@@ -458,12 +458,32 @@
         return true;
     }
 
-    void deliver_token()
+    /// Hands a token on, then counts it: the allowance counts only what has gone out.
+    /// Tokens past those that were reserved are dropped.
+    [[nodiscard]] bool pass_token(const server_sent_event& event)
     {
+        if (this->delivered >= this->parts.output_tokens)
+        {
+            ++this->context->counters.events_dropped;
+            return true;
+        }
         ++this->delivered;
         this->meter.tokens(1);
-        this->context->allowance->deliver(this->workspace, 1);
-        this->reserved -= 1;
+        this->finished = this->finished || event.name == "finish";
+        this->relay(event);
+        if (this->parts.stream)
+        {
+            this->charge(1);
+        }
+        return true;
+    }
+
+    /// Counts reserved tokens as delivered.
+    void charge(double tokens)
+    {
+        const double counted = std::min(tokens, this->reserved);
+        this->context->allowance->deliver(this->workspace, counted);
+        this->reserved -= counted;
     }
 
     void relay(const server_sent_event& event)
@@ -538,7 +558,6 @@
     void finish()
     {
         this->complete_usage();
-        this->settle();
         this->meter.ended(read_engine_usage(this->usage));
         if (this->parts.stream)
         {
@@ -555,11 +574,15 @@
             }
             this->exchange->write(to_text({"", "", stream_end}));
             this->exchange->finish();
+            this->settle();
             return;
         }
         auto head = this->answer_head();
         head.emplace_back("Content-Type", "application/json");
         this->exchange->respond(status_ok, std::move(head), this->whole_answer());
+        this->charge(this->delivered);
+        this->answered = true;
+        this->settle();
     }
 
     [[nodiscard]] std::string whole_answer() const
@@ -660,20 +683,33 @@
         this->refuse(refused);
     }
 
+    /// Counts the prompt once the caller has received something, by the engine's own
+    /// count where it is known, and gives the rest of the reservation back.
     void settle()
     {
-        if (this->reserved > 0)
+        if (this->reserved <= 0)
+        {
+            return;
+        }
+        if (this->streaming || this->answered)
+        {
+            this->charge(this->counted_prompt());
+        }
+        this->context->allowance->release(this->workspace, this->reserved);
+        this->reserved = 0;
+    }
+
+    [[nodiscard]] double counted_prompt() const
+    {
+        if (this->usage.is_object())
         {
-            if (this->delivered > 0 || this->usage.is_object())
+            const json counted = this->usage.value("prompt_tokens", json());
+            if (counted.is_number_unsigned())
             {
-                const double prompt =
-                    std::min<double>(this->reserved, this->parts.prompt_tokens);
-                this->context->allowance->deliver(this->workspace, prompt);
-                this->reserved -= prompt;
+                return counted.get<double>();
             }
-            this->context->allowance->release(this->workspace, this->reserved);
-            this->reserved = 0;
         }
+        return this->parts.prompt_tokens;
     }
 
     void give_up()
@@ -721,6 +757,7 @@
     bool complete = false;
     std::uint32_t delivered = 0;
     bool streaming = false;
+    bool answered = false; ///< A whole answer has been handed over.
     json usage;
     std::string text;
     std::string finish_reason = "stop";
