Entry: the caller's answer in a module of its own

Also a request whose workspace was removed between its key's check and its pool's search is refused instead of read past the end.

--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <daemon/api_error.hpp>
+#include <daemon/caller_answer.hpp>
 #include <daemon/model_request_parts.hpp>
 #include <daemon/renewal_controller.hpp>
 #include <daemon/request_meter.hpp>
@@ -22,7 +23,6 @@
 using std::chrono::milliseconds;
 
 constexpr int status_ok = 200;
-constexpr std::size_t slow_caller_limit = 1 << 20; // bytes that wait to be sent
 
 /// Reads the token's number from "ATTEMPT.NUMBER"; nothing when of another attempt.
 std::optional<std::uint32_t> parse_token_number(std::string_view text,
@@ -50,6 +50,7 @@
     model_request(entry_context& shared, std::shared_ptr<http_exchange> caller)
         : context(&shared)
         , exchange(std::move(caller))
+        , answer(this->exchange)
         , meter(*shared.telemetry)
     {
         ++this->context->open;
@@ -84,9 +85,10 @@
     }
 
     /// Goes on once the tokens are reserved.
-    void admitted()
+    void admitted(const admission_decision& decision)
     {
         this->id = this->context->next_request_id();
+        this->answer.describe(this->id, this->parts, decision);
         this->meter.admitted(this->id, this->workspace, this->pool, this->policy,
                              this->parts.prompt_tokens);
         this->context->retries->earn();
@@ -148,7 +150,7 @@
         this->context->attempts.remove(this->current());
         if (this->exchange->gone())
         {
-            this->meter.cancelled(this->streaming);
+            this->meter.cancelled(this->answer.begun());
             this->end_at_agent();
             this->settle();
         }
@@ -233,13 +235,20 @@
         suspect
     };
 
-    void refuse(const api_error& refused) { respond(*this->exchange, refused); }
+    void refuse(const api_error& refused) { this->answer.refuse(refused); }
 
     /// Finds the pool that serves the model and that the workspace may use.
     [[nodiscard]] bool find_pool()
     {
         const auto config = this->context->board.config.read();
         const auto owner = config->current.workspaces.find(this->workspace);
+        if (owner == config->current.workspaces.end())
+        {
+            this->refuse(to_api_error({error_code::unauthorized, "find pool", "",
+                                       "the workspace has just been removed"},
+                                      run_state::not_run));
+            return false;
+        }
         for (const auto& [name, candidate] : config->current.pools)
         {
             const auto& allowed = owner->second.pools;
@@ -271,12 +280,10 @@
 
     void decided(const admission_decision& decision, double wanted)
     {
-        this->limit = decision.limit;
-        this->remaining = decision.remaining;
         if (decision.admitted)
         {
             this->reserved = wanted;
-            this->admitted();
+            this->admitted(decision);
             return;
         }
         api_error refused;
@@ -326,7 +333,7 @@
         const auto choice = this->choose(wanted);
         if (!choice)
         {
-            this->meter.failed(choice.error().code, this->streaming);
+            this->meter.failed(choice.error().code, this->answer.begun());
             this->give_answer(to_api_error(choice.error(), this->run_so_far()));
             return;
         }
@@ -384,7 +391,7 @@
         const std::scoped_lock hold(this->mutex);
         if (this->given_up)
         {
-            this->meter.cancelled(this->streaming);
+            this->meter.cancelled(this->answer.begun());
             this->settle();
             return;
         }
@@ -412,7 +419,7 @@
         }
         else if (event.name == "usage")
         {
-            this->usage = json::parse(event.data, nullptr, false);
+            this->answer.take_usage(event.data);
         }
         else
         {
@@ -454,7 +461,7 @@
             return true;
         }
         this->finished = this->finished || event.name == "finish";
-        this->relay(event);
+        this->answer.pass(event.data);
         return true;
     }
 
@@ -470,7 +477,7 @@
         ++this->delivered;
         this->meter.tokens(1);
         this->finished = this->finished || event.name == "finish";
-        this->relay(event);
+        this->answer.pass(event.data);
         if (this->parts.stream)
         {
             this->charge(1);
@@ -486,123 +493,20 @@
         this->reserved -= counted;
     }
 
-    void relay(const server_sent_event& event)
-    {
-        if (!this->parts.stream)
-        {
-            this->gather(event.data);
-            return;
-        }
-        this->begin_stream();
-        const std::size_t waiting = this->exchange->write(to_text({"", "", event.data}));
-        if (waiting > slow_caller_limit)
-        {
-            this->exchange->abort();
-        }
-    }
-
-    void begin_stream()
-    {
-        if (!this->streaming)
-        {
-            this->streaming = true;
-            auto head = this->answer_head();
-            head.emplace_back("Content-Type", "text/event-stream");
-            head.emplace_back("Cache-Control", "no-store");
-            this->exchange->begin_stream(status_ok, std::move(head));
-        }
-    }
-
-    /// Adds a chunk to the whole answer of a caller who does not stream.
-    void gather(std::string_view data)
-    {
-        const json chunk = json::parse(data, nullptr, false);
-        if (!chunk.is_object() || chunk.value("choices", json::array()).empty())
-        {
-            return;
-        }
-        const json& choice = chunk["choices"][0];
-        this->text += this->parts.chat
-                          ? choice.value("delta", json::object()).value("content", "")
-                          : choice.value("text", "");
-        const json reason = choice.value("finish_reason", json());
-        if (reason.is_string())
-        {
-            this->finish_reason = reason.get<std::string>();
-        }
-    }
-
-    [[nodiscard]] std::vector<http_header> answer_head() const
-    {
-        return {{"x-request-id", this->id},
-                {std::string(headers::run), std::string(to_string(run_state::ran))},
-                {"x-ratelimit-limit-tokens", std::to_string(std::llround(this->limit))},
-                {"x-ratelimit-remaining-tokens",
-                 std::to_string(std::llround(this->remaining))}};
-    }
-
-    /// The engine of a resumed answer counted only what it produced itself.
-    void complete_usage()
-    {
-        if (!this->usage.is_object() || this->attempt == 1)
-        {
-            return;
-        }
-        const json prompt = this->usage.value("prompt_tokens", json());
-        const auto counted =
-            prompt.is_number_unsigned() ? prompt.get<std::uint64_t>() : 0;
-        this->usage["completion_tokens"] = this->delivered;
-        this->usage["total_tokens"] = counted + this->delivered;
-    }
-
     void finish()
     {
-        this->complete_usage();
-        this->meter.ended(read_engine_usage(this->usage));
-        if (this->parts.stream)
-        {
-            this->begin_stream();
-            if (this->parts.include_usage)
-            {
-                const json chunk{{"id", this->id},
-                                 {"object", this->parts.chat ? "chat.completion.chunk"
-                                                             : "text_completion"},
-                                 {"model", this->parts.model},
-                                 {"choices", json::array()},
-                                 {"usage", this->usage}};
-                this->exchange->write(to_text({"", "", chunk.dump()}));
-            }
-            this->exchange->write(to_text({"", "", stream_end}));
-            this->exchange->finish();
-            this->settle();
-            return;
-        }
-        auto head = this->answer_head();
-        head.emplace_back("Content-Type", "application/json");
-        this->exchange->respond(status_ok, std::move(head), this->whole_answer());
-        this->charge(this->delivered);
-        this->answered = true;
-        this->settle();
-    }
-
-    [[nodiscard]] std::string whole_answer() const
-    {
-        json choice{{"index", 0}, {"finish_reason", this->finish_reason}};
-        if (this->parts.chat)
+        // Each engine of a resumed answer counted only what it produced itself.
+        if (this->attempt > 1)
         {
-            choice["message"] = {{"role", "assistant"}, {"content", this->text}};
+            this->answer.complete_usage(this->delivered);
         }
-        else
+        this->meter.ended(read_engine_usage(this->answer.usage()));
+        this->answer.finish();
+        if (!this->parts.stream)
         {
-            choice["text"] = this->text;
+            this->charge(this->delivered);
         }
-        const json answer{
-            {"id", this->id},
-            {"object", this->parts.chat ? "chat.completion" : "text_completion"},
-            {"model", this->parts.model},
-            {"choices", json::array({choice})},
-            {"usage", this->usage}};
-        return answer.dump(-1, ' ', false, json::error_handler_t::replace);
+        this->settle();
     }
 
     [[nodiscard]] run_state run_so_far() const
@@ -637,7 +541,7 @@
         if (this->attempt >= this->context->settings.limits.attempts || late ||
             !this->take_retry(failed))
         {
-            this->meter.failed(failed.fault.code, this->streaming);
+            this->meter.failed(failed.fault.code, this->answer.begun());
             this->give_answer(to_api_error(failed.fault, this->run_so_far()));
             return;
         }
@@ -670,17 +574,10 @@
                                                          : this->decode_vm);
     }
 
-    /// Ends with a refusal, or by cutting a stream that the caller already reads.
     void give_answer(const api_error& refused)
     {
         this->settle();
-        if (this->streaming)
-        {
-            this->exchange->write(to_text({"error", "", to_text(refused)}));
-            this->exchange->abort();
-            return;
-        }
-        this->refuse(refused);
+        this->answer.refuse(refused);
     }
 
     /// Counts the prompt once the caller has received something, by the engine's own
@@ -691,27 +588,14 @@
         {
             return;
         }
-        if (this->streaming || this->answered)
+        if (this->answer.received())
         {
-            this->charge(this->counted_prompt());
+            this->charge(static_cast<double>(this->answer.prompt_tokens()));
         }
         this->context->allowance->release(this->workspace, this->reserved);
         this->reserved = 0;
     }
 
-    [[nodiscard]] double counted_prompt() const
-    {
-        if (this->usage.is_object())
-        {
-            const json counted = this->usage.value("prompt_tokens", json());
-            if (counted.is_number_unsigned())
-            {
-                return counted.get<double>();
-            }
-        }
-        return this->parts.prompt_tokens;
-    }
-
     void give_up()
     {
         http_client::call_id running = 0;
@@ -728,6 +612,7 @@
 
     entry_context* context;
     std::shared_ptr<http_exchange> exchange;
+    caller_answer answer;
     request_meter meter;
     model_request_parts parts;
     std::string workspace;
@@ -738,8 +623,6 @@
     std::string id;
     std::string body;
     time_point deadline;
-    double limit = 0;
-    double remaining = 0;
     double reserved = 0;
 
     std::uint32_t attempt = 0;
@@ -756,11 +639,6 @@
     std::optional<attempt_failure> failure;
     bool complete = false;
     std::uint32_t delivered = 0;
-    bool streaming = false;
-    bool answered = false; ///< A whole answer has been handed over.
-    json usage;
-    std::string text;
-    std::string finish_reason = "stop";
 
     std::mutex mutex;
     bool given_up = false;
