agateseam drain VM

The entry looks the VM up in the platform's list and tells its agent. tests/process/membership_test.py now drains through the command line (no new work within 3 s as before) and passes.

--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -160,4 +160,12 @@
     return body;
 }
 
+result<json> operator_client::drain(const std::string& vm) const
+{
+    http_call request;
+    request.method = "POST";
+    request.url = this->url + "/operator/drain?vm=" + vm;
+    return this->call(std::move(request));
+}
+
 } // namespace agateseam
--- a/src/cli/operator_client.hpp
+++ b/src/cli/operator_client.hpp
@@ -46,6 +46,9 @@
     /// \brief Reads a page that is a JSON object.
     [[nodiscard]] result<nlohmann::json> object(const std::string& path) const;
 
+    /// \brief Tells an agent to take no more work.
+    [[nodiscard]] result<nlohmann::json> drain(const std::string& vm) const;
+
   private:
     operator_client() = default;
 
--- a/src/cli/status_commands.cpp
+++ b/src/cli/status_commands.cpp
@@ -148,7 +148,20 @@
     return exit_code::done;
 }
 
+int drain(const command_line& line)
+{
+    const auto answer = line.client.drain(line.words[1]);
+    if (!answer)
+    {
+        return report(answer.error());
+    }
+    std::cout << line.words[1] << " takes no more work and ends what it has\n";
+    return exit_code::done;
+}
+
 constexpr std::array commands{
+    command{"drain", "VM", "let an agent take no more work and end what it has", 2,
+            drain},
     command{"status", "[--vm VM] [--json]",
             "show every process: version, load, configuration, store", 1, show_status},
     command{"top", "[--rounds N] [--json]", "show the fleet's load every two seconds", 1,
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -21,6 +21,7 @@
 constexpr int status_conflict = 409;
 constexpr std::chrono::milliseconds first_retry{50};
 constexpr std::chrono::milliseconds last_retry{400};
+constexpr std::chrono::milliseconds drain_limit{2'000};
 
 bool is_operator(const entry_context& context, const http_request& request)
 {
@@ -165,6 +166,50 @@
     }
 }
 
+result<vm_record> find_agent(entry_context& context, std::string_view name)
+{
+    const auto listed = context.store->vms();
+    if (!listed)
+    {
+        return tl::unexpected<error>(listed.error());
+    }
+    for (const vm_record& vm : *listed)
+    {
+        if (vm.name == name && vm.role == "agent")
+        {
+            return vm;
+        }
+    }
+    return fail(error_code::not_found, "drain", name, "no such agent is listed");
+}
+
+/// Tells an agent to take no more work; a repeat changes nothing.
+void drain_agent(entry_context& context, http_exchange& exchange)
+{
+    const auto agent =
+        find_agent(context, url_decode(exchange.request().query_argument("vm")));
+    if (!agent)
+    {
+        refuse(exchange, agent.error(), run_state::not_run);
+        return;
+    }
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + agent->address + "/agent/drain";
+    call.step = "drain";
+    call.total_timeout = drain_limit;
+    call.headers = {{std::string(headers::fleet), context.settings.fleet_secret}};
+    const auto reply = context.client->fetch(std::move(call));
+    if (!reply)
+    {
+        refuse(exchange, reply.error(), run_state::unknown);
+        return;
+    }
+    exchange.respond(
+        reply->status, {{"Content-Type", "application/json"}},
+        json{{"vm", agent->name}, {"draining", reply->status == 200}}.dump());
+}
+
 } // namespace
 
 void serve_operator(entry_context& context, std::shared_ptr<http_exchange> exchange)
@@ -193,6 +238,10 @@
     {
         get_history(context, *exchange);
     }
+    else if (request.path == "/operator/drain" && request.method == "POST")
+    {
+        drain_agent(context, *exchange);
+    }
     else if (request.path == "/operator/config/state" && reads)
     {
         get_state(context, *exchange);
--- a/tests/process/membership_test.py
+++ b/tests/process/membership_test.py
@@ -7,7 +7,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../../scripts/lib"))
-from fleet import FLEET_SECRET, Fleet, http, wait_for  # noqa: E402
+from fleet import Fleet, http, wait_for  # noqa: E402
 
 LEAVING_LIMIT_S = 3
 CALLS = 12
@@ -50,8 +50,9 @@
         self.check(self.runs(name) == before, f"no new work after {what}")
 
     def announced(self):
-        http("POST", self.fleet.agent_url("service-1") + "/agent/drain",
-             headers={"x-agateseam-fleet": FLEET_SECRET})
+        code, _ = self.fleet.cli("drain", "no-such-vm", check=False)
+        self.check(code == 1, f"an unknown VM is refused: exit code {code}")
+        self.fleet.cli("drain", "service-1")
         self.no_new_work("service-1", "announced")
 
     def listed(self):
