--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <charconv>
 #include <deque>
 #include <future>
 #include <mutex>
@@ -13,6 +12,8 @@
 
 #include <curl/curl.h>
 
+#include <net/curl_call.hpp>
+
 namespace agateseam
 {
 
@@ -26,110 +27,6 @@
 constexpr std::size_t handle_pool_limit = 256;
 constexpr unsigned shard_bits = 8;
 
-/// One call under way; lives on its thread.
-struct call_state
-{
-    http_client::call_id id = 0;
-    http_call call;
-    std::shared_ptr<http_sink> sink;
-    CURL* handle = nullptr;
-    curl_slist* headers = nullptr;
-    std::vector<http_header> answer_headers;
-    bool head_told = false;
-    bool refused_by_sink = false;
-    bool has_body = false;
-    steady_clock::time_point heard; ///< The last byte, or the call's begin.
-
-    ~call_state() { curl_slist_free_all(this->headers); }
-};
-
-void tell_head(call_state& state)
-{
-    if (!state.head_told)
-    {
-        state.head_told = true;
-        long status = 0;
-        curl_easy_getinfo(state.handle, CURLINFO_RESPONSE_CODE, &status);
-        state.sink->on_head(static_cast<int>(status), state.answer_headers);
-    }
-}
-
-std::size_t on_header(char* data, std::size_t, std::size_t size, void* context)
-{
-    auto& state = *static_cast<call_state*>(context);
-    std::string_view line(data, size);
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
-    {
-        line.remove_suffix(1);
-    }
-    const std::size_t colon = line.find(':');
-    if (line.starts_with("HTTP/"))
-    {
-        state.answer_headers.clear();
-    }
-    else if (colon != std::string_view::npos)
-    {
-        std::string_view value = line.substr(colon + 1);
-        while (!value.empty() && value.front() == ' ')
-        {
-            value.remove_prefix(1);
-        }
-        state.answer_headers.emplace_back(line.substr(0, colon), value);
-    }
-    return size;
-}
-
-std::size_t on_body(char* data, std::size_t, std::size_t size, void* context)
-{
-    auto& state = *static_cast<call_state*>(context);
-    state.heard = steady_clock::now();
-    state.has_body = true;
-    tell_head(state);
-    if (!state.sink->on_data({data, size}))
-    {
-        state.refused_by_sink = true;
-        return 0;
-    }
-    return size;
-}
-
-/// Tells whether an answer's end can be told from a cut: by its length or its chunks.
-bool is_framed(const call_state& state)
-{
-    return std::any_of(state.answer_headers.begin(), state.answer_headers.end(),
-                       [](const http_header& header)
-                       {
-                           const char* const name = header.first.c_str();
-                           return ::strcasecmp(name, "Content-Length") == 0 ||
-                                  ::strcasecmp(name, "Transfer-Encoding") == 0;
-                       });
-}
-
-/// Tells what a failed transfer means for the work that was asked for.
-error_code classify(CURLcode code, const call_state& state)
-{
-    if (state.refused_by_sink)
-    {
-        return error_code::cancelled;
-    }
-    switch (code)
-    {
-    case CURLE_COULDNT_CONNECT:
-    case CURLE_COULDNT_RESOLVE_HOST:
-    case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
-        return error_code::unavailable;
-    case CURLE_OPERATION_TIMEDOUT:
-    {
-        curl_off_t connected = 0;
-        curl_easy_getinfo(state.handle, CURLINFO_PRETRANSFER_TIME_T, &connected);
-        return connected == 0 ? error_code::unavailable : error_code::timeout;
-    }
-    default:
-        return error_code::broken;
-    }
-}
-
 /// One thread with its own multi handle and pooled connections.
 class client_thread
 {
@@ -166,7 +63,7 @@
         }
     }
 
-    void start(std::unique_ptr<call_state> state)
+    void start(std::unique_ptr<curl_call> state)
     {
         {
             const std::scoped_lock hold(this->mutex);
@@ -232,7 +129,7 @@
 
     void take_orders()
     {
-        std::deque<std::unique_ptr<call_state>> fresh;
+        std::deque<std::unique_ptr<curl_call>> fresh;
         std::deque<http_client::call_id> ended;
         {
             const std::scoped_lock hold(this->mutex);
@@ -269,64 +166,15 @@
         return handle;
     }
 
-    void begin(std::unique_ptr<call_state> state)
+    void begin(std::unique_ptr<curl_call> state)
     {
         state->handle = this->take_handle();
         state->heard = steady_clock::now();
-        this->configure(*state);
+        configure(*state, this->options);
         curl_multi_add_handle(this->multi, state->handle);
         this->active.emplace(state->id, std::move(state));
     }
 
-    void configure(call_state& state) const
-    {
-        CURL* handle = state.handle;
-        const http_call& call = state.call;
-        curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
-        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-        curl_easy_setopt(handle, CURLOPT_PROXY, "");
-        curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
-        curl_easy_setopt(handle, CURLOPT_PRIVATE, &state);
-        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, on_header);
-        curl_easy_setopt(handle, CURLOPT_HEADERDATA, &state);
-        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
-        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &state);
-        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
-                         static_cast<long>(call.connect_timeout.count()));
-        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
-                         static_cast<long>(call.total_timeout.count()));
-        curl_easy_setopt(handle, CURLOPT_MAXLIFETIME_CONN,
-                         static_cast<long>(this->options.connection_age.count()));
-        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
-                         static_cast<long>(this->options.connection_idle.count()));
-        if (call.fresh_connection)
-        {
-            curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-            curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
-        }
-        this->configure_body(state);
-    }
-
-    static void configure_body(call_state& state)
-    {
-        const http_call& call = state.call;
-        if (call.method != "GET" || !call.body.empty())
-        {
-            curl_easy_setopt(state.handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                             static_cast<curl_off_t>(call.body.size()));
-            curl_easy_setopt(state.handle, CURLOPT_POSTFIELDS, call.body.data());
-        }
-        curl_easy_setopt(state.handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-        state.headers = curl_slist_append(state.headers, "Expect:");
-        for (const auto& [name, value] : call.headers)
-        {
-            const std::string line = value.empty() ? name + ";" : name + ": " + value;
-            state.headers = curl_slist_append(state.headers, line.c_str());
-        }
-        curl_easy_setopt(state.handle, CURLOPT_HTTPHEADER, state.headers);
-    }
-
     void collect()
     {
         int left = 0;
@@ -337,7 +185,7 @@
                 continue;
             }
             const CURLcode code = message->data.result;
-            call_state* state = nullptr;
+            curl_call* state = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &state);
             if (code == CURLE_OK && state->has_body && !is_framed(*state))
             {
@@ -361,7 +209,7 @@
     void end(http_client::call_id id, const result<void>& outcome)
     {
         const auto found = this->active.find(id);
-        const std::unique_ptr<call_state> state = std::move(found->second);
+        const std::unique_ptr<curl_call> state = std::move(found->second);
         this->active.erase(found);
         curl_multi_remove_handle(this->multi, state->handle);
         curl_easy_reset(state->handle);
@@ -380,9 +228,9 @@
     CURLM* multi;
     std::atomic<bool> stopping{false};
     std::mutex mutex;
-    std::deque<std::unique_ptr<call_state>> arrivals;
+    std::deque<std::unique_ptr<curl_call>> arrivals;
     std::deque<http_client::call_id> cancels;
-    std::unordered_map<http_client::call_id, std::unique_ptr<call_state>> active;
+    std::unordered_map<http_client::call_id, std::unique_ptr<curl_call>> active;
     std::vector<CURL*> idle_handles;
     steady_clock::time_point next_silence_check;
     std::thread worker;
@@ -403,7 +251,7 @@
     {
         const std::uint64_t number = this->next.fetch_add(1, std::memory_order_relaxed);
         const std::size_t shard = number % this->threads.size();
-        auto state = std::make_unique<call_state>();
+        auto state = std::make_unique<curl_call>();
         state->id = (number << shard_bits) | shard;
         state->call = std::move(call);
         state->sink = std::move(sink);
