--- a/bench/policy_model.hpp
+++ b/bench/policy_model.hpp
@@ -100,8 +100,10 @@
 /// \brief Features of the project's policy that a run switches.
 struct policy_features
 {
-    bool prefix = true;   ///< Placement by cache digests.
-    bool session = false; ///< Placement by session affinity.
+    bool prefix = true; ///< Placement by cache digests.
+    /// Placement by session affinity, after the paper "Session affinity"
+    /// (PAPER-session-affinity-6ff3): the agent that served a session, unless it is busy.
+    bool session = false;
 };
 
 /// \brief Runs a trace through the decision classes that the daemons use.
