--- a/src/core/daily_model.cpp
+++ b/src/core/daily_model.cpp
@@ -15,6 +15,7 @@
 constexpr double smallest_value = 1e-12; // keeps logarithms and shares finite
 constexpr double trend_share = 0.05;     // of workspaces that have a trend, beforehand
 constexpr double step_share = 0.02;      // of workspaces that have had a step, beforehand
+constexpr double rise_share = 0.2;       // of workspaces that rose to their level at first
 constexpr double least_weight = 1e-3;    // candidates below it are left out
 /// Of the share by which a trend changes a day, known beforehand: 1% a day.
 constexpr double usual_slope_square = 1e-4;
@@ -23,7 +24,7 @@
 constexpr double search_deviations = 8;
 constexpr int search_steps = 60;
 constexpr double correlation_days = 6;    // of no correlation, known beforehand
-constexpr double unforeseen_share = 0.02; // deviation by what no history shows
+constexpr double unforeseen_share = 0.022; // deviation by what no history shows
 constexpr double largest_correlation = 0.8;
 /// Squared residuals of a day that are known beforehand: keeps a few alike days from
 /// being taken for certainty.
@@ -71,6 +72,20 @@
     return (low + high) / 2;
 }
 
+/// Returns the squared residuals of days that rise in even steps to a level.
+double rise_rest(std::span<const double> logs, double level)
+{
+    double rest = 0;
+    const auto steps = static_cast<double>(logs.size() + 1);
+    for (std::size_t index = 0; index < logs.size(); ++index)
+    {
+        const double share = static_cast<double>(index + 1) / steps;
+        const double distance = logs[index] - std::log(level * share);
+        rest += distance * distance;
+    }
+    return rest;
+}
+
 std::vector<double> logarithms(std::span<const double> series)
 {
     const double floor = floor_of(series);
@@ -144,6 +159,11 @@
 {
     this->candidates.clear();
     this->add_candidates(0);
+    for (std::size_t cut = 1;
+         cut < least_segment && cut + least_segment <= this->days.size(); ++cut)
+    {
+        this->add_candidate(cut, history_shape::level);
+    }
     for (std::size_t cut = least_segment; cut + least_segment <= this->days.size(); ++cut)
     {
         this->add_candidates(cut);
@@ -204,7 +224,13 @@
     }
     made.unknowns = trend ? 2 : 1;
     made.prior = std::log(trend ? trend_share / 2 : 1 - trend_share);
-    if (begin > 0)
+    if (begin > 0 && begin < least_segment)
+    {
+        const double level = std::max(made.fit.mean, floor_of(tail));
+        made.rest += rise_rest(std::span<const double>(this->logs).first(begin), level);
+        made.prior += std::log(rise_share / (least_segment - 1));
+    }
+    else if (begin > 0)
     {
         made.rest +=
             fit_line(std::span<const double>(this->logs).first(begin), false).rest;
@@ -213,7 +239,7 @@
     }
     else
     {
-        made.prior += std::log(1 - step_share);
+        made.prior += std::log(1 - step_share - rise_share);
     }
     this->candidates.push_back(made);
 }
--- a/tests/unit/forecast_test.cpp
+++ b/tests/unit/forecast_test.cpp
@@ -102,6 +102,19 @@
     CHECK(made->days_used == 20);
 }
 
+TEST_CASE("the first days of a new workspace, on the way up, are not its level")
+{
+    auto history = flat_days(15, 10);
+    for (std::uint64_t day = 0; day < 4; ++day)
+    {
+        history[day].amount = 2.0 * static_cast<double>(day + 1);
+    }
+    const auto made =
+        forecast_month(history, {{2026, 1}, (start + 15) * hours_per_day, 0});
+    REQUIRE(made);
+    CHECK(made->amount == doctest::Approx(310).epsilon(0.02));
+}
+
 TEST_CASE("on generated histories every interval holds its own amount")
 {
     for (const std::string_view kind : bench::history_kinds)
