Prefill: equal servers are chosen at random

Cause: an entry mostly has no prompt under way, so all servers of its failure domain were equal to it, and the first of the list was chosen, by every entry.

Ruled out: too few decode servers.

--- a/include/agateseam/engine_board.hpp
+++ b/include/agateseam/engine_board.hpp
@@ -99,13 +99,17 @@
         return (first.first <= second.first ? first : second).second->server;
     }
 
-    /// \brief Chooses a prefill server.
+    /// \brief Chooses the prefill server with the least prompt tokens under way.
+    ///
+    /// Equals are chosen at random: mostly an entry has no prompt under way, and were the
+    /// first of the list chosen then, all entries of a failure domain would send theirs to
+    /// one server. \param draw a random number. \param allowed judges a server by its id.
     template <typename Predicate>
     [[nodiscard]] std::shared_ptr<const backend_server>
-    choose_prefill(std::string_view domain, Predicate allowed) const
+    choose_prefill(std::string_view domain, std::uint64_t draw, Predicate allowed) const
     {
-        std::shared_ptr<const backend_server> best;
-        double best_load = 0;
+        std::vector<const place*> least;
+        double least_load = 0;
         for (const auto& [id, known] : this->places)
         {
             if (!known.listed || known.server->stage != engine_stage::prefill ||
@@ -114,13 +118,17 @@
                 continue;
             }
             const double load = this->prefill_load(known, domain);
-            if (!best || load < best_load)
+            if (least.empty() || load < least_load)
+            {
+                least.clear();
+                least_load = load;
+            }
+            if (load <= least_load)
             {
-                best = known.server;
-                best_load = load;
+                least.push_back(&known);
             }
         }
-        return best;
+        return least.empty() ? nullptr : least[draw % least.size()]->server;
     }
 
     [[nodiscard]] stream_ticket begin_decode(const std::string& id,
--- a/src/gateway/prompt_reader.cpp
+++ b/src/gateway/prompt_reader.cpp
@@ -50,7 +50,7 @@
 {
     const time_point now = boot_now();
     return this->engines->board.choose_prefill(
-        this->state->settings.failure_domain,
+        this->state->settings.failure_domain, this->state->random(),
         [this, now, &tried](const std::string& id)
         {
             return std::find(tried.begin(), tried.end(), id) == tried.end() &&
--- a/tests/unit/engine_board_test.cpp
+++ b/tests/unit/engine_board_test.cpp
@@ -145,13 +145,38 @@
                                    server_of("p2", engine_stage::prefill, "b"),
                                    server_of("d1", engine_stage::decode, "a")},
                                   10'000);
-    CHECK(board.choose_prefill("a", anyone)->id == "p1");
-    CHECK(board.choose_prefill("b", anyone)->id == "p2");
+    CHECK(board.choose_prefill("a", 0, anyone)->id == "p1");
+    CHECK(board.choose_prefill("b", 0, anyone)->id == "p2");
     board.begin_prefill("p1", 5'000);
-    CHECK(board.choose_prefill("a", anyone)->id == "p2");
+    CHECK(board.choose_prefill("a", 0, anyone)->id == "p2");
     board.end_prefill("p1", 5'000);
-    CHECK(board.choose_prefill("a", anyone)->id == "p1");
-    CHECK(!board.choose_prefill("a", [](const std::string&) { return false; }));
+    CHECK(board.choose_prefill("a", 0, anyone)->id == "p1");
+    CHECK(!board.choose_prefill("a", 0, [](const std::string&) { return false; }));
+}
+
+TEST_CASE("entries without a prompt under way spread their next one over equal servers")
+{
+    // Load: many entries of one failure domain, each with a prompt now and then.
+    std::vector<backend_server> servers;
+    for (const char* id : {"p1", "p2", "p3", "p4"})
+    {
+        servers.push_back(server_of(id, engine_stage::prefill));
+    }
+    servers.push_back(server_of("far", engine_stage::prefill, "b"));
+    const engine_board board = board_of(servers, 1'000);
+    pcg32 random(5);
+    std::map<std::string, int> chosen;
+    constexpr int entries = 400;
+    for (int entry = 0; entry < entries; ++entry)
+    {
+        ++chosen[board.choose_prefill("a", random(), anyone)->id];
+    }
+    CHECK(chosen.size() == 4);
+    for (const auto& [id, times] : chosen)
+    {
+        CHECK(times > entries / 4 / 2);
+        CHECK(times < entries / 4 * 2);
+    }
 }
 
 TEST_CASE("a server that refused is left alone until something there ends")
