Plain calls: no slow attempt is ended without a repeat in hand; full servers rest

Now a slow attempt ends only when a repeat is in hand, not before three times the server's usual time; a server that answered while the attempt waited is slow, not dark; one that refused is left alone for 15 ms, doubling to 120 ms.

Tests: two on the stand-in (the first failed before: 504), two of the judge.

--- a/include/agateseam/server_judge.hpp
+++ b/include/agateseam/server_judge.hpp
@@ -25,14 +25,19 @@
 /// Load pattern: a server that fails part of its requests while its health check is
 /// good; one that is dark, so that each request sent there costs its whole time; one that
 /// comes back. A server is left out after `strikes` unreached attempts in a row, for a
-/// time that doubles; then one request at a time tries it. Failures only lower its rank,
-/// since they may be the requests' own.
+/// time that doubles; then one request at a time tries it. One that answered others while
+/// an attempt waited is slow, not dark, and isn't left out. Failures only lower its rank,
+/// since they may be the requests' own. A server that is full refuses; it is left alone
+/// for a moment, so that a burst doesn't spend the repeats' budget on refusals.
 class server_judge
 {
   public:
     static constexpr std::uint32_t strikes = 2;
     static constexpr std::chrono::milliseconds shortest_pause{500};
     static constexpr std::chrono::milliseconds longest_pause{4'000};
+    /// In about this time one of a full server's few places is free again.
+    static constexpr std::chrono::milliseconds first_refusal_pause{15};
+    static constexpr std::chrono::milliseconds longest_refusal_pause{120};
 
     void begin(const std::string& id);
     void end(const std::string& id, server_sign sign, duration took, time_point now);
@@ -40,6 +45,13 @@
     /// \brief Tells whether a server may be given work now.
     [[nodiscard]] bool allowed(const std::string& id, time_point now) const;
 
+    /// \brief Returns how long a server that refused is still left alone; zero if it
+    /// isn't.
+    [[nodiscard]] duration full_for(const std::string& id, time_point now) const;
+
+    /// \brief Returns the usual time of a server's whole answers; zero when unknown.
+    [[nodiscard]] duration usual_time(const std::string& id) const;
+
     /// \brief Returns a rank that rises with load and bad signs; lower is better.
     [[nodiscard]] double rank(const std::string& id) const;
 
@@ -63,6 +75,9 @@
         double latency_ms = 0;    ///< Moving average of whole answers; 0: unknown.
         time_point shunned_until{};
         duration pause{};
+        time_point answered_at{};
+        time_point full_until{};
+        duration refusal_pause{};
     };
 
     std::unordered_map<std::string, opinion> opinions;
--- a/src/core/server_judge.cpp
+++ b/src/core/server_judge.cpp
@@ -33,6 +33,10 @@
     if (sign == server_sign::unreached)
     {
         blend(about.failure_share, 1);
+        if (about.answered_at > now - took)
+        {
+            return;
+        }
         if (++about.unreached_in_row >= strikes)
         {
             about.pause =
@@ -41,13 +45,18 @@
         }
         return;
     }
+    about.answered_at = now;
     about.unreached_in_row = 0;
     about.pause = {};
     about.shunned_until = {};
     if (sign == server_sign::refused)
     {
+        about.refusal_pause = std::clamp<duration>(
+            about.refusal_pause * 2, first_refusal_pause, longest_refusal_pause);
+        about.full_until = now + about.refusal_pause;
         return;
     }
+    about.refusal_pause = {};
     blend(about.failure_share, sign == server_sign::failed ? 1 : 0);
     const double took_ms = std::chrono::duration<double, std::milli>(took).count();
     about.latency_ms =
@@ -66,6 +75,23 @@
     return now >= found->second.shunned_until && found->second.open == 0;
 }
 
+duration server_judge::full_for(const std::string& id, time_point now) const
+{
+    const auto found = this->opinions.find(id);
+    return found == this->opinions.end()
+               ? duration::zero()
+               : std::max<duration>(found->second.full_until - now, duration::zero());
+}
+
+duration server_judge::usual_time(const std::string& id) const
+{
+    const auto found = this->opinions.find(id);
+    return found == this->opinions.end()
+               ? duration::zero()
+               : std::chrono::duration_cast<duration>(
+                     std::chrono::duration<double, std::milli>(found->second.latency_ms));
+}
+
 double server_judge::rank(const std::string& id) const
 {
     const auto found = this->opinions.find(id);
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -1,6 +1,7 @@
 #include <gateway/plain_call.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <agateseam/attempt_policy.hpp>
 
@@ -20,6 +21,13 @@
 /// A first attempt of a safe request may take this part of the target before another
 /// server is asked: what is left is enough for the work's usual time.
 constexpr double first_attempt_part = 0.6;
+/// And this many times the service's usual time, which rises when all servers are slow.
+constexpr int first_attempt_usual = 3;
+/// Until the budget has a repeat for it, a slow attempt goes on; looked at so often.
+constexpr auto look_for_repeat = 40ms;
+/// Where every server is full, a request waits for a place at most this part of the
+/// target.
+constexpr double wait_part = 0.5;
 /// A server of another failure domain counts as this much of a request more.
 constexpr double domain_cost = 0.6;
 /// Asked to come back after this when no server could be had.
@@ -46,7 +54,7 @@
     {
         for (;;)
         {
-            const auto server = this->choose();
+            const auto server = co_await this->find_server();
             attempt_result made;
             if (server)
             {
@@ -68,11 +76,33 @@
     }
 
   private:
-    [[nodiscard]] std::shared_ptr<const backend_server> choose()
+    /// Chooses a server; where all are full, waits a moment for one of them.
+    task<std::shared_ptr<const backend_server>> find_server()
+    {
+        const time_point wait_until =
+            this->scope->exchange->request().arrived + this->part_of_target(wait_part);
+        for (;;)
+        {
+            const time_point now = boot_now();
+            auto server = this->choose(now);
+            const duration full =
+                server ? this->state->judge.full_for(server->id, now) : duration::zero();
+            if (full <= duration::zero() || now >= wait_until ||
+                this->scope->exchange->gone())
+            {
+                co_return server;
+            }
+            co_await pause_for(*this->state->loop,
+                               std::min<duration>(full, wait_until - now));
+        }
+    }
+
+    /// Returns the best server that isn't full, or else the one that is so for the
+    /// shortest time.
+    [[nodiscard]] std::shared_ptr<const backend_server> choose(time_point now)
     {
-        const time_point now = boot_now();
         std::shared_ptr<const backend_server> best;
-        double best_rank = 0;
+        std::pair<duration, double> best_rank;
         for (const auto& server : this->state->servers_of(this->scope->service))
         {
             const bool tried_before = std::find(this->tried.begin(), this->tried.end(),
@@ -87,38 +117,69 @@
                         : domain_cost;
             // Less than any other difference: equals are chosen at random.
             rank += 1e-3 * (this->state->random() % 100);
-            if (!best || rank < best_rank)
+            const std::pair<duration, double> whole{
+                this->state->judge.full_for(server->id, now), rank};
+            if (!best || whole < best_rank)
             {
                 best = server;
-                best_rank = rank;
+                best_rank = whole;
             }
         }
         return best;
     }
 
-    [[nodiscard]] time_point attempt_until(time_point now) const
+    [[nodiscard]] duration part_of_target(double part) const
+    {
+        return std::chrono::duration_cast<duration>(this->scope->route->target_latency *
+                                                    part);
+    }
+
+    /// Returns after which time another server is asked as well; zero: never.
+    [[nodiscard]] duration first_attempt_time(const backend_server& server) const
     {
         const service_route& route = *this->scope->route;
         const bool another_follows =
             route.repeatable() && this->may_have_run + 1 < route.max_attempts;
         if (!another_follows || route.target_latency <= milliseconds(0))
         {
-            return this->scope->until;
+            return duration::zero();
         }
-        const auto part = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double, std::milli>(
-                first_attempt_part * static_cast<double>(route.target_latency.count())));
-        return std::min(this->scope->until, now + part);
+        return std::max(this->part_of_target(first_attempt_part),
+                        this->state->judge.usual_time(server.id) * first_attempt_usual);
+    }
+
+    /// Ends a slow attempt as soon as a repeat is in hand for the next one: without one,
+    /// its answer is all that the caller can get.
+    void limit_attempt(deadline_timer& timer, std::shared_ptr<upstream_connection> link,
+                       std::shared_ptr<const bool> open, duration after)
+    {
+        timer.arm(after,
+                  [this, &timer, link, open]
+                  {
+                      if (!*open)
+                      {
+                          return;
+                      }
+                      if (this->take_repeat())
+                      {
+                          this->repeat_in_hand = true;
+                          link->close();
+                          return;
+                      }
+                      this->limit_attempt(timer, link, open, look_for_repeat);
+                  });
+    }
+
+    [[nodiscard]] bool take_repeat()
+    {
+        return this->state->ledger.take_repeat(this->scope->service, boot_now());
     }
 
     /// Spends a repeat of the fleet's budget unless this is the first arrival.
     [[nodiscard]] bool may_arrive()
     {
-        if (this->arrivals == 0)
-        {
-            return true;
-        }
-        return this->state->ledger.take_repeat(this->scope->service, boot_now());
+        return this->arrivals == 0 || std::exchange(this->repeat_in_hand, false) ||
+               this->take_repeat();
     }
 
     task<attempt_result> attempt(const backend_server& server)
@@ -128,13 +189,17 @@
         this->scope->server = server.id;
         ++this->scope->attempts;
         this->state->judge.begin(server.id);
-        made = co_await this->exchange_with(server, begun);
+        made = co_await this->exchange_with(server);
         const time_point now = boot_now();
         this->state->judge.end(server.id, this->sign_of(made), now - begun, now);
+        if (made.end != attempt_end::answered)
+        {
+            log_step(*this->scope, "attempt failed", server.id, to_string(made.end));
+        }
         co_return made;
     }
 
-    task<attempt_result> exchange_with(const backend_server& server, time_point begun)
+    task<attempt_result> exchange_with(const backend_server& server)
     {
         attempt_result made;
         auto link = this->state->pool.take(server.address);
@@ -166,38 +231,53 @@
         link->send(this->state->dialect->write_request(exchange.request(), order),
                    exchange.request().body);
         ++this->arrivals;
-        made.end = co_await this->read_answer(*link, this->attempt_until(begun), made);
+        made.end = co_await this->read_answer(link, server, made);
         exchange.on_gone(nullptr);
         this->state->pool.give_back(link);
         co_return made;
     }
 
-    task<attempt_end> read_answer(upstream_connection& link, time_point until,
-                                  attempt_result& made)
+    task<attempt_end> read_answer(std::shared_ptr<upstream_connection> link,
+                                  const backend_server& server, attempt_result& made)
+    {
+        const auto open = std::make_shared<bool>(true);
+        deadline_timer timer(*this->state->loop);
+        const duration limit = this->first_attempt_time(server);
+        if (limit > duration::zero())
+        {
+            this->limit_attempt(timer, link, open, limit);
+        }
+        const io_end end = co_await this->read_whole_answer(*link);
+        *open = false;
+        if (end != io_end::good)
+        {
+            link->close();
+            co_return this->repeat_in_hand || end == io_end::timed_out
+                ? attempt_end::timed_out
+                : attempt_end::lost;
+        }
+        made.head = link->head();
+        made.body = link->take_body();
+        co_return this->judge_answer(made.head);
+    }
+
+    task<io_end> read_whole_answer(upstream_connection& link)
     {
         const auto& dialect = *this->state->dialect;
         const std::string& id = this->scope->facts.id;
-        io_end end =
-            co_await link.read_head(until,
+        const io_end end =
+            co_await link.read_head(this->scope->until,
                                     [&dialect, &id](const message_head& head)
                                     {
                                         const std::string answered =
                                             dialect.read_reply(head).request_id;
                                         return answered.empty() || answered == id;
                                     });
-        if (end == io_end::good)
-        {
-            end = co_await link.read_whole(until, largest_answer);
-        }
         if (end != io_end::good)
         {
-            link.close();
-            co_return end == io_end::timed_out ? attempt_end::timed_out
-                                               : attempt_end::lost;
+            co_return end;
         }
-        made.head = link.head();
-        made.body = link.take_body();
-        co_return this->judge_answer(made.head);
+        co_return co_await link.read_whole(this->scope->until, largest_answer);
     }
 
     [[nodiscard]] attempt_end judge_answer(const message_head& head) const
@@ -294,6 +374,7 @@
     std::uint32_t may_have_run = 0;
     std::uint32_t refusals = 0;
     std::uint32_t arrivals = 0;
+    bool repeat_in_hand = false; ///< Taken from the budget for the next attempt.
 };
 
 } // namespace
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -184,6 +184,36 @@
         check(got.status == 503 and b"not_run" in got.body and "Retry-After" in got.headers)
 
 
+def test_a_slow_answer_is_waited_for_when_no_repeat_is_left(build, directory):
+    """Giving it up for another server that may not be asked would leave the caller nothing."""
+    async def slowly(replica, request, _reader, writer):
+        await asyncio.sleep(0.7)  # the target is 500 ms, another server is asked after 300
+        return await replica.plain(request, writer)
+
+    fleet = {"allowance_reserve_tokens": 100_000, "repeat_extra": 0, "repeat_ratio": 0}
+    with started(build, directory, fleet=fleet) as site:
+        for replica in site.of("plain"):
+            replica.script = slowly
+        got = site.get("/safe/a")
+        check(got.status == 200, got.status, got.body)
+        check(sum(len(replica.runs) for replica in site.of("plain")) == 1)
+
+
+def test_a_slow_answer_is_asked_for_elsewhere(build, directory):
+    async def slowly(replica, request, _reader, writer):
+        await asyncio.sleep(2)
+        return await replica.plain(request, writer)
+
+    with started(build, directory) as site:
+        first, second = site.of("plain")
+        first.script = slowly
+        for _ in range(6):
+            begun = time.monotonic()
+            check(site.get("/safe/a").status == 200)
+            check(time.monotonic() - begun < 1)
+        check(second.runs)
+
+
 def test_a_late_extra_answer_belongs_to_no_other_request(build, directory):
     async def twice(replica, request, _reader, writer):
         replica.runs.append(request.id)
--- a/tests/unit/server_choice_test.cpp
+++ b/tests/unit/server_choice_test.cpp
@@ -46,6 +46,44 @@
     CHECK(judge.allowed("a", later + 2s));
 }
 
+TEST_CASE("a server that is only slow is not left out")
+{
+    // Load: a burst; attempts are given up after a while, others end meanwhile.
+    server_judge judge;
+    for (int number = 0; number < 10; ++number)
+    {
+        const time_point now = start + number * 100ms;
+        judge.begin("slow");
+        judge.end("slow", server_sign::good, 90ms, now - 10ms);
+        judge.begin("slow");
+        judge.end("slow", server_sign::unreached, 180ms, now);
+    }
+    CHECK(judge.allowed("slow", start + 1s));
+    CHECK(judge.rank("slow") > 1);
+    CHECK(judge.usual_time("slow") == 90ms);
+}
+
+TEST_CASE("a full server is left alone for a moment that grows until it takes one")
+{
+    server_judge judge;
+    CHECK(judge.full_for("a", start) == duration::zero());
+    duration before{};
+    for (int refusal = 0; refusal < 6; ++refusal)
+    {
+        judge.begin("a");
+        judge.end("a", server_sign::refused, 3ms, start);
+        CHECK(judge.full_for("a", start) >= before);
+        before = judge.full_for("a", start);
+    }
+    CHECK(before == server_judge::longest_refusal_pause);
+    CHECK(judge.full_for("a", start + before) == duration::zero());
+    judge.begin("a");
+    judge.end("a", server_sign::good, 60ms, start + 1s);
+    judge.begin("a");
+    judge.end("a", server_sign::refused, 3ms, start + 1s);
+    CHECK(judge.full_for("a", start + 1s) == server_judge::first_refusal_pause);
+}
+
 TEST_CASE("a server that fails part of its requests ranks behind the others")
 {
     server_judge judge;
