Peer exchange: what the others placed is summed up every 4 ms, not per datagram

At 29 entries each hears some hundreds of datagrams a second, and each sum goes over all entries and servers.

Tried and taken back: telling the other entries the prompts under way at each prefill server, chosen together with the decode place.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -17,6 +17,8 @@
 /// News in between at most this often; a placement is known everywhere by then, before
 /// the next one is likely to choose the same server.
 constexpr auto news_least = 20ms;
+/// Between sums of what the entries said: a fraction of the news' own delay.
+constexpr auto sum_least = 4ms;
 
 asio::ip::udp::endpoint to_udp(const tcp_endpoint& endpoint)
 {
@@ -29,6 +31,7 @@
     : state(&chosen_state)
     , on_newer(std::move(chosen))
     , socket(*chosen_state.loop)
+    , heard_claims(*chosen_state.loop)
 {
 }
 
@@ -62,6 +65,7 @@
     peer_exchange* self = made.get();
     spawn(*state.loop, [self]() -> task<void> { co_await self->send_digests(); });
     spawn(*state.loop, [self]() -> task<void> { co_await self->receive(); });
+    spawn(*state.loop, [self]() -> task<void> { co_await self->follow_claims(); });
     return made;
 }
 
@@ -258,7 +262,7 @@
         return;
     }
     this->peers[digest->entry] = from;
-    this->update_claims();
+    this->heard_claims.notify();
     const std::uint64_t own = this->state->routing ? this->state->routing->version() : 0;
     if (digest->configuration > own)
     {
@@ -267,6 +271,18 @@
     }
 }
 
+/// Adds up what came in the last moment at once: a datagram of each entry comes many
+/// times a second, and each sum goes over all entries and servers.
+task<void> peer_exchange::follow_claims()
+{
+    while (!this->stopped)
+    {
+        co_await this->heard_claims.wait_for(digest_every);
+        co_await pause_for(*this->state->loop, sum_least);
+        this->update_claims();
+    }
+}
+
 void peer_exchange::update_claims()
 {
     if (!this->state->routing)
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -43,12 +43,14 @@
     [[nodiscard]] entry_digest make_digest(time_point now);
     void keep_news(entry_digest& digest) const;
     void send_to_all(const std::string& datagram);
+    task<void> follow_claims();
     void update_claims();
     void log_changes(time_point now);
 
     entry_state* state;
     newer_configuration on_newer;
     udp_socket socket;
+    wake_signal heard_claims; ///< A digest came since the last sum.
     /// Addresses by entry name; seeds stand under their address until they are heard.
     std::map<std::string, asio::ip::udp::endpoint> peers;
     std::set<std::string> heard; ///< As last logged.
