Explain: a request's story and cause from the entries' logs

agateseam explain REQUEST-ID [FILE...]: the request's lines and what its process noticed meanwhile, in causal order (a process's own order stands where its time of day stepped back), and one sentence on the cause.

--- a/include/agateseam/engine_board.hpp
+++ b/include/agateseam/engine_board.hpp
@@ -102,8 +102,9 @@
     /// \brief Chooses the prefill server with the least prompt tokens under way.
     ///
     /// Equals are chosen at random: mostly an entry has no prompt under way, and were the
-    /// first of the list chosen then, all entries of a failure domain would send theirs to
-    /// one server. \param draw a random number. \param allowed judges a server by its id.
+    /// first of the list chosen then, all entries of a failure domain would send theirs
+    /// to one server. \param draw a random number. \param allowed judges a server by its
+    /// id.
     template <typename Predicate>
     [[nodiscard]] std::shared_ptr<const backend_server>
     choose_prefill(std::string_view domain, std::uint64_t draw, Predicate allowed) const
--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -71,6 +71,9 @@
 /// \brief The time line of events over all processes.
 [[nodiscard]] std::span<const command> timeline_commands() noexcept;
 
+/// \brief One request's story out of logs.
+[[nodiscard]] std::span<const command> explain_commands() noexcept;
+
 /// \brief Commands that list and show sections of the configuration, its history, and
 /// what a patch would change.
 [[nodiscard]] std::span<const command> section_commands() noexcept;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -47,7 +47,7 @@
     std::vector<command> all;
     for (const std::span<const command> group :
          {config_commands(), section_commands(), usage_commands(), status_commands(),
-          timeline_commands()})
+          timeline_commands(), explain_commands()})
     {
         all.insert(all.end(), group.begin(), group.end());
     }
--- a/src/core/daily_model.cpp
+++ b/src/core/daily_model.cpp
@@ -15,15 +15,15 @@
 constexpr double smallest_value = 1e-12; // keeps logarithms and shares finite
 constexpr double trend_share = 0.05;     // of workspaces that have a trend, beforehand
 constexpr double step_share = 0.02;      // of workspaces that have had a step, beforehand
-constexpr double rise_share = 0.2;       // of workspaces that rose to their level at first
-constexpr double least_weight = 1e-3;    // candidates below it are left out
+constexpr double rise_share = 0.2;    // of workspaces that rose to their level at first
+constexpr double least_weight = 1e-3; // candidates below it are left out
 /// Of the share by which a trend changes a day, known beforehand: 1% a day.
 constexpr double usual_slope_square = 1e-4;
 constexpr double tail_share = 0.1;       // outside the interval, on either side
 constexpr double tail_quantile = 1.2816; // of the normal distribution, for tail_share
 constexpr double search_deviations = 8;
 constexpr int search_steps = 60;
-constexpr double correlation_days = 6;    // of no correlation, known beforehand
+constexpr double correlation_days = 6;     // of no correlation, known beforehand
 constexpr double unforeseen_share = 0.022; // deviation by what no history shows
 constexpr double largest_correlation = 0.8;
 /// Squared residuals of a day that are known beforehand: keeps a few alike days from
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -155,18 +155,44 @@
             {
                 this->placed_at = boot_now();
                 this->scope->waited = this->placed_at - arrived;
+                this->log_place(*server);
                 co_return place;
             }
             place.reset();
+            ++this->reservations_refused;
             this->engines->board.refused(server->id, boot_now());
             ticket = this->engines->line.join(waiting);
         }
         this->engines->line.leave(ticket);
         this->scope->waited = boot_now() - arrived;
         this->engines->changed.notify();
+        this->log_no_place();
         co_return nullptr;
     }
 
+    void log_place(const backend_server& server) const
+    {
+        const auto waited = std::chrono::duration_cast<milliseconds>(this->scope->waited);
+        log_line(log_level::info, "decode place reserved",
+                 {{"request", this->scope->facts.id},
+                  {"server", server.id},
+                  {"waited_ms", waited.count()},
+                  {"waiting", static_cast<std::int64_t>(this->engines->line.size())}});
+    }
+
+    void log_no_place() const
+    {
+        const auto waited = std::chrono::duration_cast<milliseconds>(this->scope->waited);
+        const std::size_t servers = this->engines->board.decode_servers().size();
+        log_line(log_level::info, "no decode place",
+                 {{"request", this->scope->facts.id},
+                  {"waited_ms", waited.count()},
+                  {"waiting", static_cast<std::int64_t>(this->engines->line.size())},
+                  {"servers", static_cast<std::int64_t>(servers)},
+                  {"reservations_refused", std::int64_t{this->reservations_refused}},
+                  {"reason", this->gone() ? "caller gone" : "no memory in time"}});
+    }
+
     [[nodiscard]] std::shared_ptr<const backend_server>
     choose_decode(time_point now) const
     {
@@ -544,6 +570,7 @@
     std::optional<std::int64_t> last_event;
     std::uint32_t arrivals = 0;
     std::uint32_t refusals = 0;
+    std::uint32_t reservations_refused = 0;
     std::uint32_t may_have_run = 0;
     time_point placed_at{};
     std::optional<time_point> first_event;
--- a/src/gateway/request_pipeline.cpp
+++ b/src/gateway/request_pipeline.cpp
@@ -153,6 +153,15 @@
         return std::nullopt;
     }
     const duration wait = ledger.wait_for_tokens(scope.workspace->name, cost, now);
+    const fleet_view view = ledger.view(now);
+    log_line(log_level::info, "over allowance",
+             {{"request", scope.facts.id},
+              {"workspace", scope.workspace->name},
+              {"tokens", cost},
+              {"left", ledger.tokens_left(scope.workspace->name, now)},
+              {"wait_ms", std::chrono::duration_cast<milliseconds>(wait).count()},
+              {"heard", std::int64_t{view.heard}},
+              {"entries", std::int64_t{view.entries}}});
     return own_answer{status_too_many, "over_allowance", run_word::not_run,
                       std::max<duration>(wait, shortest_retry)};
 }
