Usage on the platform: recorded by entries in the store, read by the command line

tests/site/usage_test.py: sums equal what callers got; no call where nothing changed; nothing lost in an outage, at most an interval after a kill, none at a planned stop; bad prices and an absent store get a clear error.

--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -163,6 +163,8 @@
         known = self.kinds.get(kind, {}).get(wanted)
         if request.method == "POST" and known:
             return 409, known
+        if request.method == "PUT" and not known:
+            return 404, {}
         return 200, self.put(kind, wanted, made.get("spec"))
 
     async def watch(self, kind, after, wait_ms):
@@ -328,7 +330,7 @@
                         "metrics": f"127.0.0.1:{self.metrics}",
                         "peers": f"127.0.0.1:{self.peers}", "seeds": [],
                         "store": site.store.address, "grace_ms": site.grace_ms,
-                        "fleet": site.fleet}
+                        "fleet": site.fleet, **site.more_settings}
         with open(self.settings, "w", encoding="utf-8") as file:
             json.dump(self.written, file)
         self.log_path = os.path.join(site.directory, self.name + ".log")
@@ -397,7 +399,7 @@
 
     request_numbers = itertools.count(1)
 
-    def __init__(self, build, directory, entries=1, grace_ms=4000, fleet=None):
+    def __init__(self, build, directory, entries=1, grace_ms=4000, fleet=None, settings=None):
         self.program = os.path.join(build, "agateseam-entry")
         self.directory = directory
         os.makedirs(directory, exist_ok=True)
@@ -405,6 +407,7 @@
             if old.endswith(".log"):
                 os.remove(os.path.join(directory, old))
         self.grace_ms = grace_ms
+        self.more_settings = settings or {}
         self.fleet = fleet or {"allowance_reserve_tokens": 100_000, "repeat_extra": 100,
                                "repeat_ratio": 0.2}
         self.loop = asyncio.new_event_loop()
--- a/src/cli/usage_commands.cpp
+++ b/src/cli/usage_commands.cpp
@@ -1,6 +1,7 @@
 #include "usage_history.hpp"
 
 #include <cstdio>
+#include <fstream>
 #include <iostream>
 
 namespace agateseam
@@ -13,9 +14,36 @@
 
 constexpr double seconds_per_day = 86'400;
 
+/// On the platform prices stand in a file: {"SERVICE": {"prompt", "cached", "output"}}.
+result<configuration> read_prices(const command_line& line)
+{
+    const std::string name = line.option("prices");
+    if (name.empty())
+    {
+        return configuration{};
+    }
+    std::ifstream file(name);
+    const json prices = json::parse(file, nullptr, false, true);
+    if (!prices.is_object())
+    {
+        return fail(error_code::invalid, "read prices", name,
+                    "the file is not a JSON object");
+    }
+    json pools = json::object();
+    for (const auto& [service, price] : prices.items())
+    {
+        pools[service] = json::object();
+    }
+    return configuration::parse(json{{"pools", pools}, {"prices", prices}}.dump(), 0);
+}
+
 /// The configuration that prices and allowances come from.
 result<configuration> read_configuration(const command_line& line)
 {
+    if (!line.option("store").empty())
+    {
+        return read_prices(line);
+    }
     const auto current = line.client.config();
     if (!current)
     {
@@ -238,11 +266,13 @@
 }
 
 constexpr std::array commands{
-    command{"usage", "[--month YYYY-MM] [--workspace NAME] [--json|--csv]",
+    command{"usage",
+            "[--month YYYY-MM] [--workspace NAME] [--store IP:PORT [--prices FILE]] "
+            "[--json|--csv]",
             "show what was used and what it costs so far", 1, show_usage},
     command{"forecast",
             "[--month YYYY-MM] [--workspace NAME] [--history FILE] "
-            "[--json|--csv]",
+            "[--store IP:PORT --prices FILE] [--json|--csv]",
             "forecast a month's bill with an 80% interval", 1, show_forecast},
 };
 
--- a/src/cli/usage_history.cpp
+++ b/src/cli/usage_history.cpp
@@ -1,9 +1,11 @@
 #include "usage_history.hpp"
 
+#include <chrono>
 #include <fstream>
 #include <sstream>
 
 #include <agateseam/impl/usage_json.hpp>
+#include <platform/usage_reader.hpp>
 
 namespace agateseam
 {
@@ -34,6 +36,20 @@
     }
 }
 
+/// What entries on the platform recorded.
+result<dated_history> read_from_store(const command_line& line, usage_hour_number from,
+                                      usage_hour_number to)
+{
+    auto all = read_platform_usage(line.option("store"));
+    if (!all)
+    {
+        return tl::unexpected<error>(all.error());
+    }
+    std::erase_if(*all, [from, to](const auto& item)
+                  { return item.first < from || item.first >= to; });
+    return dated_history{*read_hour(line), std::move(*all)};
+}
+
 result<dated_history> read_part(const command_line& line, const std::string& query)
 {
     const auto page = line.client.object("/operator/usage?" + query);
@@ -44,6 +60,13 @@
 
 result<usage_hour_number> read_hour(const command_line& line)
 {
+    if (!line.option("store").empty())
+    {
+        return static_cast<usage_hour_number>(
+            std::chrono::floor<std::chrono::hours>(std::chrono::system_clock::now())
+                .time_since_epoch()
+                .count());
+    }
     const auto read = read_part(line, "shard=0&from=0&to=0");
     return read ? result<usage_hour_number>(read->now)
                 : tl::unexpected<error>(read.error());
@@ -52,6 +75,10 @@
 result<dated_history> read_history(const command_line& line, usage_hour_number from,
                                    usage_hour_number to)
 {
+    if (!line.option("store").empty())
+    {
+        return read_from_store(line, from, to);
+    }
     const std::string range =
         "from=" + std::to_string(from) + "&to=" + std::to_string(to);
     const std::string workspace = line.option("workspace");
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -8,6 +8,7 @@
 #include <gateway/engine_calls.hpp>
 #include <gateway/engine_reports.hpp>
 #include <gateway/entry_handlers.hpp>
+#include <gateway/usage_recorder.hpp>
 #include <transport/caller_listener.hpp>
 
 namespace agateseam
@@ -95,6 +96,8 @@
               [this]() -> task<void> { co_await ask_for_reports(this->state); });
         spawn(this->loop,
               [this]() -> task<void> { co_await this->follow_entries_servers(); });
+        spawn(this->loop, [this]() -> task<void>
+              { co_await record_usage(this->state, *this->link); });
         this->link->start();
         this->loop.run();
         return this->cut == 0 ? 0 : 1;
@@ -336,6 +339,10 @@
         this->callers->stop_accepting();
         this->cut = this->pipeline.open();
         this->link->stop();
+        if (this->state.store_reached)
+        {
+            co_await write_usage(this->state, *this->link);
+        }
         co_await this->link->deregister();
         log_line(this->cut == 0 ? log_level::info : log_level::warning, "stopped",
                  {{"requests_cut", static_cast<std::int64_t>(this->cut)}});
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -17,6 +17,7 @@
 #include <agateseam/fleet_ledger.hpp>
 #include <agateseam/routing_table.hpp>
 #include <agateseam/server_judge.hpp>
+#include <agateseam/usage_account.hpp>
 #include <agateseam/waiting_line.hpp>
 #include <agateseam/work_pace.hpp>
 #include <gateway/backend_dialect.hpp>
@@ -75,6 +76,7 @@
     server_judge judge;
     upstream_pool pool;
     entry_counters counters;
+    usage_account usage;
     wake_signal news; ///< The other entries should hear of a change soon.
     pcg32 random;
     bool store_reached = false;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -89,6 +89,8 @@
         read_seeds(section, settings);
         settings.store = read_address(section, "store", true);
         settings.grace = milliseconds(section.integer("grace_ms", 0, longest_ms, 8'000));
+        settings.usage_flush =
+            std::chrono::seconds(section.integer("usage_flush_s", 1, 3'600, 60));
         settings.log =
             level_named(section.one_of("log", {"debug", "info", "warning"}, "info"));
         read_fleet(section.object("fleet", false), settings.ledger, faults);
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -27,6 +27,8 @@
     std::string store;              ///< "IP:port" of the platform's store.
     ledger_terms ledger;
     std::chrono::milliseconds grace{8'000}; ///< From SIGTERM to the end.
+    /// Between records of use in the store: a call each, and what a kill loses.
+    std::chrono::milliseconds usage_flush{60'000};
     log_level log = log_level::info;
 
     /// \brief Checks a settings document whole.
--- a/src/gateway/platform_link.hpp
+++ b/src/gateway/platform_link.hpp
@@ -10,6 +10,7 @@
 
 #include <agateseam/backend_directory.hpp>
 #include <agateseam/routing_table.hpp>
+#include <agateseam/usage.hpp>
 #include <transport/event_loop.hpp>
 
 namespace agateseam
@@ -55,6 +56,9 @@
     /// \brief Takes this entry off the platform's list.
     virtual task<void> deregister() = 0;
 
+    /// \brief Records what this entry's process counted in an hour, all of it so far.
+    virtual task<result<void>> write_usage(usage_hour_number hour, usage_table rows) = 0;
+
     /// \brief Decodes a configuration document that another entry handed over.
     [[nodiscard]] virtual result<std::shared_ptr<const routing_table>>
     decode(std::string_view document) const = 0;
--- a/src/gateway/request_pipeline.cpp
+++ b/src/gateway/request_pipeline.cpp
@@ -4,6 +4,7 @@
 
 #include <gateway/model_call.hpp>
 #include <gateway/plain_call.hpp>
+#include <gateway/usage_recorder.hpp>
 
 namespace agateseam
 {
@@ -46,6 +47,7 @@
     co_await this->serve(scope);
     --this->open_requests;
     this->log_end(scope, begun);
+    count_usage(scope);
 }
 
 task<void> request_pipeline::serve(request_scope& scope)
--- /dev/null
+++ b/src/gateway/usage_recorder.cpp
@@ -0,0 +1,73 @@
+#include <gateway/usage_recorder.hpp>
+
+#include <gateway/request_scope.hpp>
+
+namespace agateseam
+{
+
+namespace
+{
+
+/// Records are told apart by hours of the time of day, as bills are.
+usage_hour_number current_hour()
+{
+    return static_cast<usage_hour_number>(
+        std::chrono::floor<std::chrono::hours>(boot_clock{}.wall_now())
+            .time_since_epoch()
+            .count());
+}
+
+} // namespace
+
+void count_usage(const request_scope& scope)
+{
+    if (scope.workspace == nullptr)
+    {
+        return;
+    }
+    const bool received = scope.outcome == "answered" || scope.output_tokens > 0;
+    if (!received)
+    {
+        return;
+    }
+    usage_counters counted;
+    counted.requests = 1;
+    if (scope.is_model())
+    {
+        counted.prompt_tokens = static_cast<std::uint64_t>(scope.facts.prompt_tokens);
+        counted.output_tokens = static_cast<std::uint64_t>(scope.output_tokens);
+    }
+    scope.state->usage.add(current_hour(), {scope.workspace->name, scope.service},
+                           counted);
+}
+
+task<void> write_usage(entry_state& state, platform_link& link)
+{
+    for (const usage_hour_number hour : state.usage.changed())
+    {
+        const usage_table rows = state.usage.rows(hour);
+        const auto stored = co_await link.write_usage(hour, rows);
+        if (!stored)
+        {
+            log_error("usage not written yet", stored.error(),
+                      {{"hour", static_cast<std::int64_t>(hour)}});
+            co_return;
+        }
+        state.counters.add("agateseam_usage_writes_total");
+        state.usage.written(hour, rows, current_hour());
+    }
+}
+
+task<void> record_usage(entry_state& state, platform_link& link)
+{
+    for (;;)
+    {
+        co_await pause_for(*state.loop, state.settings.usage_flush);
+        if (!state.draining)
+        {
+            co_await write_usage(state, link);
+        }
+    }
+}
+
+} // namespace agateseam
