Model call: finding a place is a class of its own; one judge of whose answer it is

place_finder waits in line, chooses and reserves; model_call has the prompt read and relays. The judge by request id stood three times (plain_call, engine_calls, model_call); now answers_to beside the dialect. No change of behaviour.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -115,7 +115,8 @@
     add("rate", "", cxxopts::value<double>());
     add("burst", "", cxxopts::value<double>());
     add("weight", "", cxxopts::value<double>());
-    for (const char* name : {"month", "workspace", "request", "vm", "history", "store", "prices"})
+    for (const char* name :
+         {"month", "workspace", "request", "vm", "history", "store", "prices"})
     {
         add(name, "", cxxopts::value<std::string>());
     }
--- a/src/gateway/backend_dialect.cpp
+++ b/src/gateway/backend_dialect.cpp
@@ -6,6 +6,16 @@
 namespace agateseam
 {
 
+std::function<bool(const message_head&)> answers_to(const backend_dialect& dialect,
+                                                    std::string request_id)
+{
+    return [&dialect, id = std::move(request_id)](const message_head& head)
+    {
+        const std::string answered = dialect.read_reply(head).request_id;
+        return answered.empty() || answered == id;
+    };
+}
+
 bool only_for_connection(std::string_view name, std::string_view connection) noexcept
 {
     static constexpr std::array<std::string_view, 10> always{"Connection",
--- a/src/gateway/backend_dialect.hpp
+++ b/src/gateway/backend_dialect.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -107,6 +108,12 @@
     [[nodiscard]] virtual std::string_view readiness_path() const noexcept = 0;
 };
 
+/// \brief Returns a judge of answers' heads: one that names another request is a late or
+/// extra answer and not to this one; one that names none is taken to be.
+/// \param dialect outlives the judge.
+[[nodiscard]] std::function<bool(const message_head&)>
+answers_to(const backend_dialect& dialect, std::string request_id);
+
 /// \brief Tells whether a field concerns only one connection.
 /// \param connection the message's Connection field.
 [[nodiscard]] bool only_for_connection(std::string_view name,
--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -34,15 +34,8 @@
         gone->on_gone([link] { link->close(); });
     }
     link->send(std::move(head), std::move(body));
-    const auto& dialect = *state.dialect;
-    answer.end =
-        co_await link->read_head(until,
-                                 [&dialect, &request_id](const message_head& read)
-                                 {
-                                     const std::string answered =
-                                         dialect.read_reply(read).request_id;
-                                     return answered.empty() || answered == request_id;
-                                 });
+    answer.end = co_await link->read_head(
+        until, answers_to(*state.dialect, std::move(request_id)));
     if (answer.end == io_end::good)
     {
         answer.end = co_await link->read_whole(until, largest_answer);
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -96,7 +96,8 @@
               [this]() -> task<void> { co_await ask_for_reports(this->state); });
         spawn(this->loop,
               [this]() -> task<void> { co_await this->follow_entries_servers(); });
-        spawn(this->loop, [this]() -> task<void>
+        spawn(this->loop,
+              [this]() -> task<void>
               { co_await record_usage(this->state, *this->link); });
         this->link->start();
         this->loop.run();
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 
 #include <agateseam/attempt_policy.hpp>
-#include <gateway/decode_place.hpp>
 #include <gateway/engine_calls.hpp>
 #include <gateway/event_stream.hpp>
+#include <gateway/place_finder.hpp>
 #include <gateway/prompt_reader.hpp>
 
 namespace agateseam
@@ -19,19 +19,8 @@
 
 constexpr int status_ok = 200;
 constexpr int first_error = 400;
-/// A waiting request looks for a place at least this often: reservations lapse unseen.
-constexpr auto look_again = 25ms;
-/// A request waits this many times its target for a place, then is turned away.
-constexpr double longest_wait_targets = 2.5;
-/// The answer of a reservation is due at once; a silent server is left alone.
-constexpr auto reserve_time = 250ms;
-constexpr auto shortest_attempt = 50ms;
 /// A silent resumable stream goes on elsewhere after this many of its gap targets.
 constexpr int silence_gaps = 4;
-/// Room that is reserved beyond the prompt, so that a stream isn't preempted at once.
-constexpr int first_events = 4;
-/// A place is used once its prompt was read, in some 200 ms, or not at all.
-constexpr auto reservation_life = 700ms;
 /// Tries of placing and starting one request: each costs a place of the repeats' budget.
 constexpr std::uint32_t most_starts = 3;
 
@@ -52,22 +41,15 @@
         , state(chosen.state)
         , engines(&chosen.state->engines(chosen.service))
         , terms(*chosen.routing->service(chosen.service)->engine)
+        , places(chosen)
         , prompts(chosen)
     {
-        const request_facts& facts = this->scope->facts;
-        this->memory.prompt = facts.prompt_tokens;
-        this->memory.most_output = facts.output_tokens;
-        const std::int64_t guess = facts.expected_output.value_or(0);
-        this->engines->outputs.note_guess(guess);
-        const output_expectation expected = this->engines->outputs.expect(guess);
-        this->memory.log_median = expected.log_median;
-        this->memory.spread = expected.spread;
-        this->last_event = facts.last_event;
+        this->last_event = chosen.facts.last_event;
     }
 
     task<void> run()
     {
-        if (!this->engines->board.could_hold(this->memory.prompt))
+        if (!this->places.could_ever())
         {
             co_await this->turn_away("no_server_large_enough", duration(1s));
             co_return;
@@ -92,7 +74,7 @@
     /// Finds a place, has the prompt read and relays the stream.
     task<next_step> start_once()
     {
-        auto place = co_await this->find_place();
+        auto place = co_await this->places.find();
         if (!place)
         {
             co_return this->gone() ? next_step::relay : next_step::say_not_run;
@@ -100,13 +82,13 @@
         const std::string source = co_await this->prompts.read(this->last_event);
         if (this->gone())
         {
-            this->release(*place);
+            this->places.release(*place);
             this->forget(source);
             co_return next_step::relay;
         }
-        if (this->left() < shortest_attempt || !this->scope->key_holds())
+        if (this->left() < shortest_model_attempt || !this->scope->key_holds())
         {
-            this->release(*place);
+            this->places.release(*place);
             this->forget(source);
             co_return this->may_have_run == 0 ? next_step::say_not_run
                                               : next_step::say_late;
@@ -114,154 +96,6 @@
         co_return co_await this->decode(*place, source);
     }
 
-    /// Waits in line for a decode place and reserves it.
-    task<std::unique_ptr<decode_place>> find_place()
-    {
-        const time_point arrived = this->scope->exchange->request().arrived;
-        const duration target = this->scope->route->target_latency;
-        const time_point wait_until =
-            std::min(this->scope->until - duration(shortest_attempt),
-                     arrived + std::chrono::duration_cast<duration>(
-                                   target * longest_wait_targets));
-        const waiting_request waiting{this->scope->urgency(), arrived,
-                                      arrived + target -
-                                          this->engines->pace.expected_start()};
-        waiting_line::ticket ticket = this->engines->line.join(waiting);
-        while (!this->gone())
-        {
-            const time_point now = boot_now();
-            if (now >= wait_until || !this->scope->key_holds())
-            {
-                break;
-            }
-            std::shared_ptr<const backend_server> server;
-            if (this->engines->line.first(now) == ticket)
-            {
-                server = this->choose_decode(now);
-            }
-            if (!server)
-            {
-                this->scope->exchange->on_gone([this]
-                                               { this->engines->changed.notify(); });
-                co_await this->engines->changed.wait_for(
-                    std::min<duration>(look_again, wait_until - now));
-                this->scope->exchange->on_gone(nullptr);
-                continue;
-            }
-            this->engines->line.leave(ticket);
-            auto place =
-                std::make_unique<decode_place>(*this->engines, server, this->memory);
-            this->state->news.notify();
-            this->engines->changed.notify();
-            if (co_await this->reserve(*place))
-            {
-                this->placed_at = boot_now();
-                this->scope->waited = this->placed_at - arrived;
-                this->log_place(*server);
-                co_return place;
-            }
-            place.reset();
-            ++this->reservations_refused;
-            this->engines->board.refused(server->id, boot_now());
-            ticket = this->engines->line.join(waiting);
-        }
-        this->engines->line.leave(ticket);
-        this->scope->waited = boot_now() - arrived;
-        this->engines->changed.notify();
-        this->log_no_place();
-        co_return nullptr;
-    }
-
-    void log_place(const backend_server& server) const
-    {
-        const auto waited = std::chrono::duration_cast<milliseconds>(this->scope->waited);
-        log_line(log_level::info, "decode place reserved",
-                 {{"request", this->scope->facts.id},
-                  {"server", server.id},
-                  {"waited_ms", waited.count()},
-                  {"waiting", static_cast<std::int64_t>(this->engines->line.size())}});
-    }
-
-    void log_no_place() const
-    {
-        const auto waited = std::chrono::duration_cast<milliseconds>(this->scope->waited);
-        const std::size_t servers = this->engines->board.decode_servers().size();
-        log_line(log_level::info, "no decode place",
-                 {{"request", this->scope->facts.id},
-                  {"waited_ms", waited.count()},
-                  {"waiting", static_cast<std::int64_t>(this->engines->line.size())},
-                  {"servers", static_cast<std::int64_t>(servers)},
-                  {"reservations_refused", std::int64_t{this->reservations_refused}},
-                  {"reason", this->gone() ? "caller gone" : "no memory in time"}});
-    }
-
-    [[nodiscard]] std::shared_ptr<const backend_server> choose_decode(time_point now)
-    {
-        return this->engines->board.choose_decode(
-            this->memory, this->state->settings.failure_domain, now,
-            this->state->random(),
-            [this, now](const std::string& id)
-            { return this->state->judge.allowed(id, now); });
-    }
-
-    /// What a stream takes when it starts: its prompt and room for the first events. A
-    /// reservation's size is counted at the server for as long as the stream runs, so it
-    /// isn't made larger.
-    [[nodiscard]] std::int64_t first_tokens() const
-    {
-        const std::int64_t output = std::min<std::int64_t>(
-            this->memory.most_output,
-            std::int64_t{first_events} * this->terms.tokens_an_event);
-        return this->engines->board.in_blocks(this->memory.prompt + output);
-    }
-
-    task<bool> reserve(decode_place& place)
-    {
-        if (this->terms.longest_hold <= milliseconds(0))
-        {
-            co_return true;
-        }
-        const auto life =
-            std::min<milliseconds>(this->terms.longest_hold, reservation_life);
-        const engine_answer answer = co_await call_engine(
-            *this->state, place.at().address,
-            this->state->dialect->write_reserve(place.at(), this->first_tokens(), life),
-            nullptr, this->scope->facts.id, boot_now() + reserve_time, nullptr);
-        const bool unreached = answer.end != io_end::good;
-        if (unreached)
-        {
-            note_sign(*this->state, place.at().id, server_sign::unreached, reserve_time);
-        }
-        if (unreached || answer.head.status != status_ok)
-        {
-            this->state->counters.add(
-                "agateseam_reservations_total{outcome=\"refused\"}");
-            co_return false;
-        }
-        auto name = this->state->dialect->read_reserve(answer.body);
-        if (!name)
-        {
-            log_error("reservation left out", name.error(),
-                      {{"request", this->scope->facts.id}});
-            co_return false;
-        }
-        this->state->counters.add("agateseam_reservations_total{outcome=\"held\"}");
-        place.reservation = std::move(*name);
-        co_return true;
-    }
-
-    void release(decode_place& place)
-    {
-        if (!place.reservation.empty())
-        {
-            post_engine(
-                *this->state, place.at().address,
-                this->state->dialect->write_release(place.at(), place.reservation),
-                "release");
-            place.reservation.clear();
-        }
-    }
-
     void forget(const std::string& source)
     {
         const auto server = this->prompts.read_at();
@@ -280,7 +114,7 @@
         if (this->arrivals > 0 &&
             !this->state->ledger.take_repeat(this->scope->service, boot_now()))
         {
-            this->release(place);
+            this->places.release(place);
             this->forget(source);
             co_return this->may_have_run == 0 ? next_step::say_not_run
                                               : next_step::say_unknown;
@@ -301,7 +135,7 @@
             {
                 note_sign(*this->state, place.at().id, server_sign::unreached, 0ms);
             }
-            this->release(place);
+            this->places.release(place);
             this->forget(source);
             co_return this->gone() ? next_step::relay : next_step::try_another;
         }
@@ -327,16 +161,9 @@
     {
         const auto keep = link.shared_from_this();
         const auto& dialect = *this->state->dialect;
-        const std::string& id = this->scope->facts.id;
         const time_point begun = boot_now();
-        const io_end end =
-            co_await link.read_head(this->scope->until,
-                                    [&dialect, &id](const message_head& head)
-                                    {
-                                        const std::string answered =
-                                            dialect.read_reply(head).request_id;
-                                        return answered.empty() || answered == id;
-                                    });
+        const io_end end = co_await link.read_head(
+            this->scope->until, answers_to(dialect, this->scope->facts.id));
         if (this->gone())
         {
             link.close();
@@ -453,9 +280,9 @@
 
     void note_pace()
     {
-        if (this->first_event && this->placed_at < *this->first_event)
+        if (this->first_event && this->places.placed_at() < *this->first_event)
         {
-            this->engines->pace.note(*this->first_event - this->placed_at,
+            this->engines->pace.note(*this->first_event - this->places.placed_at(),
                                      boot_now() - *this->first_event, this->made);
             this->engines->outputs.note(this->scope->facts.expected_output.value_or(0),
                                         this->made);
@@ -512,13 +339,14 @@
         this->events.resume();
         if (not_run && this->may_have_run == 0)
         {
-            return this->refusals <= most_refusals && this->left() > shortest_attempt
+            return this->refusals <= most_refusals &&
+                           this->left() > shortest_model_attempt
                        ? next_step::try_another
                        : next_step::say_not_run;
         }
         const service_route& route = *this->scope->route;
         if (route.resumable &&
-            this->may_have_run<route.max_attempts&& this->left()> shortest_attempt)
+            this->may_have_run<route.max_attempts&& this->left()> shortest_model_attempt)
         {
             return next_step::try_another;
         }
@@ -565,16 +393,14 @@
     entry_state* state;
     engine_service* engines;
     engine_terms terms;
-    stream_memory memory;
+    place_finder places;
     std::int64_t made = 0; ///< Output tokens so far.
     prompt_reader prompts;
     event_stream events;
     std::optional<std::int64_t> last_event;
     std::uint32_t arrivals = 0;
     std::uint32_t refusals = 0;
-    std::uint32_t reservations_refused = 0;
     std::uint32_t may_have_run = 0;
-    time_point placed_at{};
     std::optional<time_point> first_event;
     time_point last_came{};
 };
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -263,16 +263,8 @@
 
     task<io_end> read_whole_answer(upstream_connection& link)
     {
-        const auto& dialect = *this->state->dialect;
-        const std::string& id = this->scope->facts.id;
-        const io_end end =
-            co_await link.read_head(this->scope->until,
-                                    [&dialect, &id](const message_head& head)
-                                    {
-                                        const std::string answered =
-                                            dialect.read_reply(head).request_id;
-                                        return answered.empty() || answered == id;
-                                    });
+        const io_end end = co_await link.read_head(
+            this->scope->until, answers_to(*this->state->dialect, this->scope->facts.id));
         if (end != io_end::good)
         {
             co_return end;
