--- a/src/core/request_story.cpp
+++ b/src/core/request_story.cpp
@@ -298,7 +298,8 @@
         const bool shown_already = name == "time_us" || name == "level" ||
                                    name == "process" || name == "event" ||
                                    name == "request";
-        if (!shown_already && value != "")
+        if (!shown_already &&
+            !(value.is_string() && value.get_ref<const std::string&>().empty()))
         {
             text += " " + name + "=" + shown(value);
         }
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -17,7 +17,6 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-constexpr int status_ok = 200;
 constexpr int first_error = 400;
 /// A silent resumable stream goes on elsewhere after this many of its gap targets.
 constexpr int silence_gaps = 4;
