Peer exchange: whole digests are rarer and news go to some in larger fleets

Now a whole digest comes every 2 ms times the entries, 200 ms at least (unchanged up to 100 entries; 600 ms at 300), the time after which an entry counts as unheard grows with it, and news go to 60 entries at most.

--- a/include/agateseam/fleet_ledger.hpp
+++ b/include/agateseam/fleet_ledger.hpp
@@ -68,6 +68,10 @@
     /// An entry not heard for this long counts as out of reach: three digests. Until then
     /// a divided fleet spends as a whole one does.
     static constexpr std::chrono::milliseconds heard_within{700};
+    static constexpr std::chrono::milliseconds usual_digest{200};
+    /// In larger fleets digests are rarer, so that an entry doesn't spend its time on
+    /// reading them: one an entry in so many milliseconds for each entry, at least.
+    static constexpr std::chrono::microseconds digest_for_each{2'000};
     /// A copy younger than this takes the level of an older peer.
     static constexpr std::chrono::milliseconds young{3'000};
     static constexpr double burst_part = 0.4;
@@ -91,6 +95,11 @@
     /// \brief Sets how many entries there are, this one included.
     void set_entries(std::uint32_t count) { this->registered = count; }
 
+    /// \brief Returns the time between whole digests of a fleet of this size.
+    [[nodiscard]] duration digest_every() const;
+    /// \brief Returns how long an entry that isn't heard counts as one that is.
+    [[nodiscard]] duration heard_for() const;
+
     /// \brief Takes tokens of a workspace; one without a limit always has them.
     [[nodiscard]] bool take_tokens(const std::string& workspace, double tokens,
                                    time_point now);
--- a/src/core/fleet_ledger.cpp
+++ b/src/core/fleet_ledger.cpp
@@ -26,6 +26,17 @@
 {
 }
 
+duration fleet_ledger::digest_every() const
+{
+    return std::max<duration>(usual_digest, digest_for_each * this->registered);
+}
+
+duration fleet_ledger::heard_for() const
+{
+    // As many digests as in a small fleet: three and a half.
+    return this->digest_every() * heard_within.count() / usual_digest.count();
+}
+
 void fleet_ledger::put_bucket(bucket_map& buckets, const std::string& key,
                               const bucket_terms& chosen, double first_level,
                               time_point now)
@@ -159,7 +170,7 @@
     {
         return false;
     }
-    const bool was_heard = same && now - known.heard < heard_within;
+    const bool was_heard = same && now - known.heard < this->heard_for();
     const bool peer_is_young = digest.age_ms < static_cast<std::uint64_t>(young.count());
     const bool we_are_young = now - this->started < young;
     static const std::unordered_map<std::string, bucket_report> nothing;
@@ -219,7 +230,7 @@
     std::unordered_map<std::string, decode_claim> sum;
     for (const auto& [key, known] : this->peers)
     {
-        if (now - known.heard >= heard_within)
+        if (now - known.heard >= this->heard_for())
         {
             continue;
         }
@@ -248,7 +259,7 @@
     std::unordered_map<std::string, std::int64_t> found;
     for (const auto& [key, known] : this->peers)
     {
-        if (now - known.heard >= heard_within)
+        if (now - known.heard >= this->heard_for())
         {
             continue;
         }
@@ -266,7 +277,7 @@
     std::uint32_t count = 0;
     for (const auto& [key, known] : this->peers)
     {
-        const bool waits = known.last.waiting > 0 && now - known.heard < heard_within;
+        const bool waits = known.last.waiting > 0 && now - known.heard < this->heard_for();
         count += waits ? 1 : 0;
     }
     return count;
@@ -283,7 +294,7 @@
     const auto own = weight(this->name);
     return std::none_of(this->peers.begin(), this->peers.end(),
                         [&](const auto& item) {
-                            return now - item.second.heard < heard_within &&
+                            return now - item.second.heard < this->heard_for() &&
                                    weight(item.first) > own;
                         });
 }
@@ -294,7 +305,7 @@
     std::uint32_t told = 1;
     for (const auto& [key, known] : this->peers)
     {
-        if (now - known.heard < heard_within)
+        if (now - known.heard < this->heard_for())
         {
             ++heard;
             told = std::max(told, known.last.entries);
@@ -320,7 +331,7 @@
     std::uint64_t newest = 0;
     for (const auto& [key, known] : this->peers)
     {
-        if (now - known.heard < heard_within)
+        if (now - known.heard < this->heard_for())
         {
             newest = std::max(newest, known.last.configuration);
         }
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -12,13 +12,14 @@
 
 using namespace std::chrono_literals;
 
-/// A whole digest this often: three of them missing make an entry unheard.
-constexpr auto digest_every = 200ms;
 /// News in between at most this often; a placement is known everywhere by then, before
 /// the next one is likely to choose the same server.
 constexpr auto news_least = 20ms;
 /// Between sums of what the entries said: a fraction of the news' own delay.
 constexpr auto sum_least = 4ms;
+/// News go to so many entries at most, others each time; the rest hear it with the next
+/// whole digest. All of them would be n^2 datagrams for each moment's placements.
+constexpr std::size_t news_fanout = 60;
 
 asio::ip::udp::endpoint to_udp(const tcp_endpoint& endpoint)
 {
@@ -112,7 +113,9 @@
         const time_point now = boot_now();
         entry_digest digest = this->make_digest(now);
         const entry_digest said = digest;
-        if (now - whole_at < duration(digest_every))
+        const duration digest_every = this->state->ledger.digest_every();
+        const bool is_news = now - whole_at < digest_every;
+        if (is_news)
         {
             this->keep_news(digest);
         }
@@ -121,11 +124,11 @@
             whole_at = now;
         }
         this->told = said;
-        this->send_to_all(encode_digest(digest));
+        this->send(encode_digest(digest), is_news ? news_fanout : this->peers.size());
         this->log_changes(now);
         this->update_claims();
         co_await pause_for(*this->state->loop, news_least);
-        const duration left = whole_at + duration(digest_every) - boot_now();
+        const duration left = whole_at + digest_every - boot_now();
         co_await this->state->news.wait_for(std::max<duration>(left, news_least));
     }
 }
@@ -181,12 +184,24 @@
     digest.orphans.clear();
 }
 
-void peer_exchange::send_to_all(const std::string& datagram)
+/// Sends to so many entries, from one at random on in the order of their names.
+void peer_exchange::send(const std::string& datagram, std::size_t most)
 {
-    for (const auto& [name, at] : this->peers)
+    const std::size_t count = std::min(most, this->peers.size());
+    if (count == 0)
+    {
+        return;
+    }
+    auto peer = this->peers.begin();
+    std::advance(peer, count < this->peers.size()
+                           ? this->state->random() % this->peers.size()
+                           : 0);
+    for (std::size_t sent = 0; sent < count; ++sent)
     {
         io_error ignored; // A lost digest heals with the next whole one: they are totals.
-        this->socket.send_to(asio::buffer(datagram), at, 0, ignored);
+        this->socket.send_to(asio::buffer(datagram), peer->second, 0, ignored);
+        ++peer;
+        peer = peer == this->peers.end() ? this->peers.begin() : peer;
     }
 }
 
@@ -196,7 +211,7 @@
     std::set<std::string> current;
     for (const auto& [name, at] : this->state->ledger.heard_at())
     {
-        if (now - at < fleet_ledger::heard_within)
+        if (now - at < this->state->ledger.heard_for())
         {
             current.insert(name);
         }
@@ -279,7 +294,7 @@
 {
     while (!this->stopped)
     {
-        co_await this->heard_claims.wait_for(digest_every);
+        co_await this->heard_claims.wait_for(fleet_ledger::usual_digest);
         co_await pause_for(*this->state->loop, sum_least);
         this->update_claims();
     }
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -42,7 +42,7 @@
     void take(std::string_view datagram, const asio::ip::udp::endpoint& from);
     [[nodiscard]] entry_digest make_digest(time_point now);
     void keep_news(entry_digest& digest) const;
-    void send_to_all(const std::string& datagram);
+    void send(const std::string& datagram, std::size_t most);
     task<void> follow_claims();
     void update_claims();
     void log_changes(time_point now);
