--- a/src/core/fleet_ledger.cpp
+++ b/src/core/fleet_ledger.cpp
@@ -277,7 +277,8 @@
     std::uint32_t count = 0;
     for (const auto& [key, known] : this->peers)
     {
-        const bool waits = known.last.waiting > 0 && now - known.heard < this->heard_for();
+        const bool waits =
+            known.last.waiting > 0 && now - known.heard < this->heard_for();
         count += waits ? 1 : 0;
     }
     return count;
