Retry-After of a request without a decode place: as long again as it has waited

It was 1 s: a crowd that has lasted 2.25 s mostly lasts longer, and a caller that came back into it was refused again. Now as long again, up to half more at random, 1 s at least.

--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -23,6 +23,9 @@
 /// Tries of placing and starting one request: each costs a place of the repeats' budget.
 constexpr std::uint32_t most_starts = 3;
 
+/// A caller that was turned away comes back no sooner.
+constexpr auto shortest_return = 1'000ms;
+
 /// How a started stream ended.
 enum class stream_end
 {
@@ -372,7 +375,7 @@
         }
         if (next == next_step::say_not_run)
         {
-            co_await this->turn_away("no_decode_place", duration(1s));
+            co_await this->turn_away("no_decode_place", this->time_to_come_back());
             co_return;
         }
         const bool late = next == next_step::say_late;
@@ -382,6 +385,16 @@
                                             {}});
     }
 
+    /// A crowd that lasted as long as the request has waited is likely to last as long
+    /// again; up to half more at random, so that callers don't come back all at once.
+    [[nodiscard]] duration time_to_come_back() const
+    {
+        const double more = 0.5 * this->state->random() / 4294967296.0;
+        const auto as_long_again =
+            std::chrono::duration_cast<duration>(this->scope->waited * (1 + more));
+        return std::max<duration>(shortest_return, as_long_again);
+    }
+
     task<void> turn_away(std::string_view reason, duration retry_after)
     {
         co_await answer_with(
