--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -22,6 +22,9 @@
 struct event_note;
 struct event;
 class event_log;
+struct story_line;
+struct request_story;
+class story_reader;
 
 // Usage.
 struct usage_counters;
@@ -32,6 +35,7 @@
 class usage_outbox;
 class usage_hour;
 class usage_ledger;
+class usage_account;
 
 // Metrics.
 class metric_counter;
@@ -120,4 +124,43 @@
 struct slot_event;
 struct slot_request;
 
+// Routes and backend servers.
+enum class repeat_rule : std::uint8_t;
+struct service_share;
+struct service_route;
+struct workspace_terms;
+struct engine_terms;
+struct service_terms;
+struct caller_limits;
+struct routing_parts;
+class routing_table;
+enum class engine_stage : std::uint8_t;
+struct backend_server;
+class backend_directory;
+
+// What entries spend together.
+struct bucket_terms;
+struct fleet_view;
+class fleet_bucket;
+struct bucket_report;
+struct entry_digest;
+struct ledger_terms;
+class fleet_ledger;
+
+// Where a request goes, and what follows an attempt.
+enum class server_sign : std::uint8_t;
+class server_judge;
+enum class attempt_end : std::uint8_t;
+enum class next_step : std::uint8_t;
+struct attempt_state;
+struct output_expectation;
+class output_guess;
+struct stream_memory;
+class memory_curve;
+struct decode_claim;
+class engine_board;
+struct waiting_request;
+class waiting_line;
+class work_pace;
+
 } // namespace agateseam
