Larger fleets: datagrams read together, servers published together, large services sampled

Each datagram cost a wait of its own, each change of a server a publication over all servers, each plain request a look at all servers of its service.

Now up to 32 datagrams are read after a wait; changes within 10 ms are published together; of a service's servers 64 are looked at, from one at random on, and more while those are full; whole digests come every 4 ms times the entries (2 before; 200 ms up to 50 entries), news go to 40.

test_a_prompt_whose_reading_failed_is_read_elsewhere failed once, traced: it sent its drafts right after the line that a server was listed, 10 ms before that is published. It waits 0.1 s now and is as strict otherwise.

--- a/include/agateseam/fleet_ledger.hpp
+++ b/include/agateseam/fleet_ledger.hpp
@@ -71,7 +71,7 @@
     static constexpr std::chrono::milliseconds usual_digest{200};
     /// In larger fleets digests are rarer, so that an entry doesn't spend its time on
     /// reading them: one an entry in so many milliseconds for each entry, at least.
-    static constexpr std::chrono::microseconds digest_for_each{2'000};
+    static constexpr std::chrono::microseconds digest_for_each{4'000};
     /// A copy younger than this takes the level of an older peer.
     static constexpr std::chrono::milliseconds young{3'000};
     static constexpr double burst_part = 0.4;
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -27,6 +27,8 @@
 /// Kept of the grace for the exit itself.
 constexpr auto exit_time = 500ms;
 constexpr auto refresh_again = 300ms;
+/// Changes of servers are published together after this; they bind after seconds.
+constexpr auto publish_pause = 10ms;
 constexpr auto entry_call_time = 1'000ms;
 /// Work for a leaving server is bounded by some seconds: a list this old is in time.
 constexpr auto servers_from_entry_every = 500ms;
@@ -143,7 +145,7 @@
                   {"address", server.address},
                   {"leaving", server.leaving}});
         this->state.directory.put(std::move(server));
-        this->publish_servers();
+        this->publish_soon();
     }
 
     void on_server_gone(std::string_view id, bool after_outage) override
@@ -151,7 +153,7 @@
         log_line(log_level::info, "backend server gone",
                  {{"server", id}, {"after_outage", after_outage}});
         this->state.directory.remove(id, after_outage, boot_now());
-        this->publish_servers();
+        this->publish_soon();
     }
 
     void on_entries(std::vector<registered_entry> entries) override
@@ -180,6 +182,23 @@
         return {};
     }
 
+    /// Changes of servers come many at once; each publication goes over all of them.
+    void publish_soon()
+    {
+        if (this->publication_due)
+        {
+            return;
+        }
+        this->publication_due = true;
+        spawn(this->loop,
+              [this]() -> task<void>
+              {
+                  co_await pause_for(this->loop, publish_pause);
+                  this->publication_due = false;
+                  this->publish_servers();
+              });
+    }
+
     void publish_servers()
     {
         if (!this->servers_known)
@@ -417,6 +436,7 @@
     std::vector<std::unique_ptr<caller_listener>> listeners;
     asio::basic_signal_set<loop_executor> signals;
     bool servers_known = false;
+    bool publication_due = false;
     std::size_t cut = 0;
     time_point fetched_at{};
     time_point reach_changed_at{};
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -17,9 +17,11 @@
 constexpr auto news_least = 20ms;
 /// Between sums of what the entries said: a fraction of the news' own delay.
 constexpr auto sum_least = 4ms;
+/// Datagrams read before other work has its turn.
+constexpr std::size_t most_at_once = 32;
 /// News go to so many entries at most, others each time; the rest hear it with the next
 /// whole digest. All of them would be n^2 datagrams for each moment's placements.
-constexpr std::size_t news_fanout = 60;
+constexpr std::size_t news_fanout = 40;
 
 asio::ip::udp::endpoint to_udp(const tcp_endpoint& endpoint)
 {
@@ -254,17 +256,29 @@
         {
             co_return;
         }
-        const auto bytes = read_scratch();
-        asio::ip::udp::endpoint from;
-        const std::size_t count = this->socket.receive_from(
-            asio::buffer(bytes.data(), bytes.size()), from, 0, fault);
-        if (!fault)
+        // As many as are there: each wait is a call to the system.
+        for (std::size_t taken = 0; taken < most_at_once && this->receive_one(); ++taken)
         {
-            this->take({bytes.data(), count}, from);
         }
     }
 }
 
+/// Returns false when no datagram is there.
+bool peer_exchange::receive_one()
+{
+    const auto bytes = read_scratch();
+    asio::ip::udp::endpoint from;
+    io_error fault;
+    const std::size_t count = this->socket.receive_from(
+        asio::buffer(bytes.data(), bytes.size()), from, 0, fault);
+    if (fault)
+    {
+        return false;
+    }
+    this->take({bytes.data(), count}, from);
+    return true;
+}
+
 void peer_exchange::take(std::string_view datagram, const asio::ip::udp::endpoint& from)
 {
     const auto digest = decode_digest(datagram);
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -39,6 +39,7 @@
 
     task<void> send_digests();
     task<void> receive();
+    bool receive_one();
     void take(std::string_view datagram, const asio::ip::udp::endpoint& from);
     [[nodiscard]] entry_digest make_digest(time_point now);
     void keep_news(entry_digest& digest) const;
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -30,6 +30,8 @@
 constexpr double wait_part = 0.5;
 /// A server of another failure domain counts as this much of a request more.
 constexpr double domain_cost = 0.6;
+/// Of a larger service so many servers are looked at, from one at random on.
+constexpr std::size_t enough_servers = 64;
 /// Asked to come back after this when no server could be had.
 constexpr auto retry_soon = 300ms;
 
@@ -103,8 +105,16 @@
     {
         std::shared_ptr<const backend_server> best;
         std::pair<duration, double> best_rank;
-        for (const auto& server : this->state->servers_of(this->scope->service))
+        const auto& servers = this->state->servers_of(this->scope->service);
+        const std::size_t first =
+            servers.empty() ? 0 : this->state->random() % servers.size();
+        for (std::size_t looked = 0; looked < servers.size(); ++looked)
         {
+            const auto& server = servers[(first + looked) % servers.size()];
+            if (looked >= enough_servers && best && best_rank.first <= duration::zero())
+            {
+                break;
+            }
             const bool tried_before = std::find(this->tried.begin(), this->tried.end(),
                                                 server->id) != this->tried.end();
             if (tried_before || !this->state->judge.allowed(server->id, now))
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -357,6 +357,7 @@
     with started(build, directory) as site:
         second = site.add("model", stage="prefill")
         wait_for(lambda: len(site.entries[0].lines("backend server changed")) >= 1, "it")
+        time.sleep(0.1)  # changes are published together, 10 ms after the line
         first = site.of("model", "prefill")[0]
         for _ in range(4):
             first.script = lose
