--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -27,7 +27,7 @@
 /// Kept of the grace for the exit itself.
 constexpr auto exit_time = 500ms;
 constexpr auto refresh_again = 300ms;
-/// Changes of servers are published together after this; they bind after seconds.
+/// Servers that come are published together after this; they have seconds of life.
 constexpr auto publish_pause = 10ms;
 constexpr auto entry_call_time = 1'000ms;
 /// Work for a leaving server is bounded by some seconds: a list this old is in time.
@@ -144,7 +144,13 @@
                  {{"server", server.id},
                   {"address", server.address},
                   {"leaving", server.leaving}});
+        const bool leaving = server.leaving;
         this->state.directory.put(std::move(server));
+        if (leaving)
+        {
+            this->publish_servers();
+            return;
+        }
         this->publish_soon();
     }
 
@@ -153,7 +159,7 @@
         log_line(log_level::info, "backend server gone",
                  {{"server", id}, {"after_outage", after_outage}});
         this->state.directory.remove(id, after_outage, boot_now());
-        this->publish_soon();
+        this->publish_servers();
     }
 
     void on_entries(std::vector<registered_entry> entries) override
@@ -182,7 +188,8 @@
         return {};
     }
 
-    /// Changes of servers come many at once; each publication goes over all of them.
+    /// Servers that come are published together, as each publication goes over all of
+    /// them; those that leave are published at once.
     void publish_soon()
     {
         if (this->publication_due)
