--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -379,10 +379,25 @@
         link.close()
 
 
+# Below the system's own range, from which any outgoing connection may take a port between
+# the look here and an entry's start; a part of it for each test process.
+PORTS_OF_A_PROCESS = 100
+FIRST_PORT = 10_000 + os.getpid() % 200 * PORTS_OF_A_PROCESS
+ports = itertools.cycle(range(FIRST_PORT, FIRST_PORT + PORTS_OF_A_PROCESS))
+
+
+def is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    return next(port for port in ports if is_free(port))
 
 
 def wait_for(condition, what, limit_s=10):
