Ledger tests: kills and cuts at random are one function

The two property tests, of windows' tokens and of repeats, drew the same disturbances in the same order; both now call disturb(). Draws, bounds and assertions as before; 192 unit cases pass.

--- a/tests/unit/fleet_ledger_test.cpp
+++ b/tests/unit/fleet_ledger_test.cpp
@@ -121,6 +121,25 @@
     return (rate * 8 + burst) * (1 + overage) + reserve;
 }
 
+/// Now and then kills an entry, moves one to the other side of a cut, or heals the cut.
+void disturb(fleet& all, rc::Random& random)
+{
+    const auto fate = random.next() % 200;
+    const std::size_t whom = random.next() % entries;
+    if (fate == 0)
+    {
+        all.start(whom);
+    }
+    else if (fate == 1)
+    {
+        all.side[whom] = 1 - all.side[whom];
+    }
+    else if (fate == 2)
+    {
+        all.side.fill(0);
+    }
+}
+
 } // namespace
 
 TEST_CASE("no window is overspent through kills, restarts and cuts")
@@ -140,20 +159,7 @@
                         random.next() % entries, random.next() % entries);
                     (void)all.take(entry, 20);
                 }
-                const auto fate = random.next() % 200;
-                const std::size_t whom = random.next() % entries;
-                if (fate == 0)
-                {
-                    all.start(whom);
-                }
-                else if (fate == 1)
-                {
-                    all.side[whom] = 1 - all.side[whom];
-                }
-                else if (fate == 2)
-                {
-                    all.side.fill(0);
-                }
+                disturb(all, random);
             }
             RC_ASSERT(all.most <= allowed_in_window());
         }));
@@ -291,20 +297,7 @@
                     repeats.back() += again ? 1 : 0;
                     all.spent[entry] = true;
                 }
-                const auto fate = random.next() % 200;
-                const std::size_t whom = random.next() % entries;
-                if (fate == 0)
-                {
-                    all.start(whom);
-                }
-                else if (fate == 1)
-                {
-                    all.side[whom] = 1 - all.side[whom];
-                }
-                else if (fate == 2)
-                {
-                    all.side.fill(0);
-                }
+                disturb(all, random);
             }
             const auto sum = [](const std::vector<double>& counts, std::size_t from)
             {
