Entries follow the platform's store through a few of them

Change: above 8 entries a few, chosen by rendezvous hashing among those that reach the store (one for 25, four at least), watch it. The rest ask one of them for the same objects, with the store's revisions, so that they can move from one to another or to the store and go on. An entry relays only while it follows the store itself. A relay that fails is replaced by the next one; with none left, the store is asked. The list of servers polled from a random entry while the store was away goes: the same mechanism carries it. A newer configuration heard of in a digest is fetched from its entry first, from the store only if that fails. Entries heard in the last minute now stay known.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -8,6 +8,7 @@
 #include <agateseam/backend_directory.hpp>
 #include <agateseam/cache_digest.hpp>
 #include <agateseam/cache_index.hpp>
+#include <agateseam/change_history.hpp>
 #include <agateseam/claim.hpp>
 #include <agateseam/claim_ledger.hpp>
 #include <agateseam/clock.hpp>
@@ -44,6 +45,7 @@
 #include <agateseam/share_transport.hpp>
 #include <agateseam/static_admission.hpp>
 #include <agateseam/store_budget.hpp>
+#include <agateseam/store_watch_plan.hpp>
 #include <agateseam/token_buckets.hpp>
 #include <agateseam/usage.hpp>
 #include <agateseam/usage_account.hpp>
--- /dev/null
+++ b/include/agateseam/change_history.hpp
@@ -0,0 +1,64 @@
+/// The recent changes of a set of objects, from which other entries are served.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace agateseam
+{
+
+/// \brief One change of an object, or its removal.
+struct object_change
+{
+    std::uint64_t revision = 0; ///< Revision at which the change was known.
+    std::string name;
+    std::string document; ///< The object as the platform wrote it.
+    bool removed = false;
+    bool after_outage = false; ///< A removal that an outage of the store may have caused.
+};
+
+/// \brief A copy of a set of objects with its latest changes by revision.
+///
+/// Revisions are those of the platform's store, so a reader may move from one copy to
+/// another, or to the store itself, and go on at the revision that it has reached.
+class change_history
+{
+  public:
+    /// Changes that are kept. A reader that is further behind reads all objects again.
+    static constexpr std::size_t max_changes = 512;
+
+    /// \brief Replaces all objects by a complete list; earlier changes are forgotten.
+    void replace(std::map<std::string, std::string> listed, std::uint64_t revision);
+
+    /// \brief Adds the changes that one answer of the store contained.
+    /// \param revision the store's revision that the answer covers.
+    void record(std::vector<object_change> changes, std::uint64_t revision);
+
+    /// \brief Returns the changes after a revision in their order; empty when there are
+    /// none yet, also for a reader that is ahead of this copy.
+    /// \returns no value when the changes since then are not known any more.
+    [[nodiscard]] std::optional<std::vector<const object_change*>>
+    changes_since(std::uint64_t revision) const;
+
+    /// \brief Returns all objects' documents by name.
+    [[nodiscard]] const std::map<std::string, std::string>& objects() const noexcept
+    {
+        return this->current;
+    }
+
+    /// \brief Returns the revision up to which all changes are known; 0 before a list.
+    [[nodiscard]] std::uint64_t revision() const noexcept { return this->known_until; }
+
+  private:
+    std::map<std::string, std::string> current;
+    std::deque<object_change> recent;
+    std::uint64_t known_from = 0; ///< Changes after this revision are in `recent`.
+    std::uint64_t known_until = 0;
+};
+
+} // namespace agateseam
--- a/include/agateseam/fleet_ledger.hpp
+++ b/include/agateseam/fleet_ledger.hpp
@@ -12,6 +12,7 @@
 #include <agateseam/engine_placement.hpp>
 #include <agateseam/fleet_bucket.hpp>
 #include <agateseam/routing_table.hpp>
+#include <agateseam/store_watch_plan.hpp>
 
 namespace agateseam
 {
@@ -35,6 +36,7 @@
     std::uint32_t known_entries = 1;         ///< Includes the entry itself.
     std::uint32_t waiting_requests = 0;      ///< Wait for a decode place at the entry.
     bool leaving = false;
+    bool reaches_store = false; ///< By the entry's latest call to the store.
     bool is_delta = false; ///< Holds only what changed; all else stays as last reported.
     std::unordered_map<std::string, bucket_report> allowances;   ///< By workspace.
     std::unordered_map<std::string, bucket_report> repeats;      ///< By service.
@@ -153,6 +155,10 @@
     /// \brief Tells whether, among the reachable entries, this one queries the server.
     [[nodiscard]] bool polls_server(std::string_view server, time_point now) const;
 
+    /// \brief Returns the other reachable entries that aren't leaving, as possible
+    /// watchers of the store.
+    [[nodiscard]] std::vector<watch_candidate> watch_candidates(time_point now) const;
+
     [[nodiscard]] fleet_view view(time_point now) const;
     /// \brief Returns when the last digest of each other entry came, by entry name.
     [[nodiscard]] std::map<std::string, time_point> last_heard_times() const;
--- /dev/null
+++ b/src/core/change_history.cpp
@@ -0,0 +1,60 @@
+#include <agateseam/change_history.hpp>
+
+#include <algorithm>
+
+namespace agateseam
+{
+
+void change_history::replace(std::map<std::string, std::string> listed,
+                             std::uint64_t revision)
+{
+    this->current = std::move(listed);
+    this->recent.clear();
+    this->known_from = revision;
+    this->known_until = revision;
+}
+
+void change_history::record(std::vector<object_change> changes, std::uint64_t revision)
+{
+    this->known_until = std::max(this->known_until, revision);
+    for (object_change& change : changes)
+    {
+        // The answer's revision covers all of its changes, and a reader gets them all or
+        // none.
+        change.revision = this->known_until;
+        if (change.removed)
+        {
+            this->current.erase(change.name);
+        }
+        else
+        {
+            this->current.insert_or_assign(change.name, change.document);
+        }
+        this->recent.push_back(std::move(change));
+    }
+    while (this->recent.size() > max_changes)
+    {
+        this->known_from = this->recent.front().revision;
+        this->recent.pop_front();
+    }
+}
+
+std::optional<std::vector<const object_change*>>
+change_history::changes_since(std::uint64_t revision) const
+{
+    if (revision < this->known_from)
+    {
+        return std::nullopt;
+    }
+    std::vector<const object_change*> later;
+    for (const object_change& change : this->recent)
+    {
+        if (change.revision > revision)
+        {
+            later.push_back(&change);
+        }
+    }
+    return later;
+}
+
+} // namespace agateseam
--- a/src/core/fleet_ledger.cpp
+++ b/src/core/fleet_ledger.cpp
@@ -316,6 +316,19 @@
                         });
 }
 
+std::vector<watch_candidate> fleet_ledger::watch_candidates(time_point now) const
+{
+    std::vector<watch_candidate> candidates;
+    for (const auto& [entry, other] : this->peers)
+    {
+        if (now - other.last_heard < this->peer_timeout() && !other.last_digest.leaving)
+        {
+            candidates.push_back({entry, other.last_digest.reaches_store});
+        }
+    }
+    return candidates;
+}
+
 fleet_view fleet_ledger::view(time_point now) const
 {
     std::uint32_t reachable = 1;
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -61,6 +61,7 @@
                         {"entries", digest.known_entries},
                         {"waiting", digest.waiting_requests},
                         {"leaving", digest.leaving},
+                        {"store", digest.reaches_store},
                         {"news", digest.is_delta},
                         {"allowances", encode_buckets(digest.allowances)},
                         {"repeats", encode_buckets(digest.repeats)},
@@ -86,6 +87,7 @@
         digest.known_entries = document.at("entries").get<std::uint32_t>();
         digest.waiting_requests = document.at("waiting").get<std::uint32_t>();
         digest.leaving = document.at("leaving").get<bool>();
+        digest.reaches_store = document.at("store").get<bool>();
         digest.is_delta = document.at("news").get<bool>();
         digest.allowances = decode_buckets(document.at("allowances"));
         digest.repeats = decode_buckets(document.at("repeats"));
@@ -111,49 +113,4 @@
     }
 }
 
-std::string encode_servers(const server_list& report)
-{
-    json list = json::array();
-    for (const backend_server& server : report.servers)
-    {
-        list.push_back({{"id", server.id},
-                        {"service", server.service},
-                        {"address", server.address},
-                        {"failure_domain", server.failure_domain},
-                        {"stage", static_cast<int>(server.stage)},
-                        {"slots", server.slots},
-                        {"leaving", server.leaving},
-                        {"born_ms", server.born_ms}});
-    }
-    return json{{"store_reached", report.store_reachable}, {"servers", list}}.dump();
-}
-
-result<server_list> decode_servers(std::string_view bytes)
-{
-    try
-    {
-        const json document = json::parse(bytes);
-        server_list report;
-        report.store_reachable = document.at("store_reached").get<bool>();
-        for (const json& item : document.at("servers"))
-        {
-            backend_server server;
-            server.id = item.at("id").get<std::string>();
-            server.service = item.at("service").get<std::string>();
-            server.address = item.at("address").get<std::string>();
-            server.failure_domain = item.at("failure_domain").get<std::string>();
-            server.stage = static_cast<engine_stage>(item.at("stage").get<int>());
-            server.slots = item.at("slots").get<std::uint32_t>();
-            server.leaving = item.at("leaving").get<bool>();
-            server.born_ms = item.at("born_ms").get<std::uint64_t>();
-            report.servers.push_back(std::move(server));
-        }
-        return report;
-    }
-    catch (const json::exception& fault)
-    {
-        return fail(error_code::invalid, "read servers", "", fault.what());
-    }
-}
-
 } // namespace agateseam
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -32,9 +32,6 @@
 /// for which a server lives.
 constexpr auto publish_delay = 10ms;
 constexpr auto peer_call_timeout = 1'000ms;
-/// A server that leaves still has some seconds for its work, so a list this old is fresh
-/// enough.
-constexpr auto peer_server_list_interval = 500ms;
 
 class entry_service final : public platform_listener
 {
@@ -46,11 +43,11 @@
         , pipeline(this->state)
         , readiness(this->state)
         , metrics(this->state)
-        , peer_requests(this->state)
+        , link(environment.make_link(this->loop, settings, incarnation, *this))
+        , peer_requests(this->state, *this->link)
         , signals(this->loop)
     {
         this->state.dialect = environment.make_dialect();
-        this->link = environment.make_link(this->loop, settings, incarnation, *this);
     }
 
     result<void> open_listeners()
@@ -99,8 +96,6 @@
         spawn(this->loop, [this]() -> task<void> { co_await this->watch_settings(); });
         spawn(this->loop,
               [this]() -> task<void> { co_await poll_memory_reports(this->state); });
-        spawn(this->loop,
-              [this]() -> task<void> { co_await this->poll_peer_server_list(); });
         spawn(this->loop,
               [this]() -> task<void>
               { co_await write_usage_periodically(this->state, *this->link); });
@@ -134,7 +129,6 @@
     {
         log_line(log_level::info, "backend servers listed",
                  {{"servers", static_cast<std::int64_t>(servers.size())},
-                  {"from", this->state.store_reachable ? "store" : "entry"},
                   {"after_outage", after_outage}});
         this->state.directory.replace(std::move(servers), after_outage, boot_now());
         this->servers_known = true;
@@ -173,12 +167,25 @@
     void on_store_reachability_changed(bool reached, std::string_view reason) override
     {
         this->state.store_reachable = reached;
-        this->store_reachability_changed_at = boot_now();
         log_line(reached ? log_level::info : log_level::warning,
                  reached ? "platform store reached again" : "platform store out of reach",
                  {{"reason", reason}});
     }
 
+    [[nodiscard]] store_watch_plan plan_watch() const override
+    {
+        store_watch_plan plan =
+            plan_store_watch({this->state.settings.vm,
+                              this->state.store_reachable && !this->state.draining},
+                             this->state.ledger.watch_candidates(boot_now()));
+        for (std::string& relay : plan.relays)
+        {
+            relay = this->peers->address_of(relay);
+        }
+        std::erase(plan.relays, "");
+        return plan;
+    }
+
   private:
     result<void> listen(const std::string& address, caller_handler& handler)
     {
@@ -232,8 +239,7 @@
         }
     }
 
-    /// Fetches a newer configuration that a peer has. Both the store and the peer are
-    /// asked, since the store may refuse this entry.
+    /// Fetches a newer configuration that a peer has.
     void fetch_configuration(std::uint64_t version, const std::string& address)
     {
         const time_point now = boot_now();
@@ -243,7 +249,6 @@
             return;
         }
         this->last_configuration_fetch_at = now;
-        this->link->refresh_configuration();
         spawn(this->loop,
               [this, version, address]() -> task<void>
               { co_await this->fetch_configuration_from(version, address); });
@@ -266,46 +271,9 @@
         co_return std::move(answer.body);
     }
 
-    /// Takes the server list of another entry while the store is unreachable for this
-    /// one.
-    task<void> poll_peer_server_list()
-    {
-        for (;;)
-        {
-            co_await pause_for(this->loop, peer_server_list_interval);
-            const bool out_of_reach = !this->state.store_reachable &&
-                                      boot_now() - this->store_reachability_changed_at >=
-                                          duration(peer_server_list_interval);
-            const std::string address = this->peers->random_peer_address();
-            std::optional<std::string> body;
-            if (out_of_reach && !address.empty())
-            {
-                body = co_await this->call_peer(peer_handler::servers_path, address);
-            }
-            if (body)
-            {
-                this->apply_server_list(*body);
-            }
-        }
-    }
-
-    void apply_server_list(std::string_view body)
-    {
-        auto report = decode_servers(body);
-        if (!report)
-        {
-            log_error("server list of entry ignored", report.error());
-            return;
-        }
-        if (report->store_reachable && !this->state.store_reachable)
-        {
-            this->on_servers(std::move(report->servers), true);
-        }
-    }
-
     task<void> fetch_configuration_from(std::uint64_t version, std::string address)
     {
-        // The store usually answers sooner; the peer is asked only if it doesn't.
+        // The feed usually brings it sooner.
         co_await pause_for(this->loop, 100ms);
         if (this->state.routing && this->state.routing->version() >= version)
         {
@@ -315,6 +283,7 @@
             co_await this->call_peer(peer_handler::configuration_path, address);
         if (!document)
         {
+            this->link->refresh_configuration();
             co_return;
         }
         auto table = this->link->decode(*document);
@@ -447,8 +416,8 @@
     request_pipeline pipeline;
     readiness_handler readiness;
     metrics_handler metrics;
-    peer_handler peer_requests;
     std::unique_ptr<platform_link> link;
+    peer_handler peer_requests;
     std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<caller_listener> callers;
     std::vector<std::unique_ptr<caller_listener>> listeners;
@@ -457,7 +426,6 @@
     bool publication_scheduled = false;
     std::size_t requests_cut = 0;
     time_point last_configuration_fetch_at{};
-    time_point store_reachability_changed_at{};
 };
 
 } // namespace
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -19,6 +19,8 @@
 constexpr auto min_claim_update_interval = 4ms;
 /// Maximum datagrams that are read before other coroutines run.
 constexpr std::size_t max_datagrams_per_wake = 32;
+/// How long an entry that is not listed any more still gets digests.
+constexpr auto unlisted_entry_memory = 60s;
 /// Maximum number of entries that get a delta; they are chosen at random each time, and
 /// the rest get the next full digest. Sending to all would take n^2 datagrams per
 /// interval.
@@ -29,6 +31,11 @@
     return {endpoint.address(), endpoint.port()};
 }
 
+std::string to_text(const asio::ip::udp::endpoint& endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(entry_state& entry, newer_configuration_callback callback)
@@ -89,18 +96,24 @@
         }
     }
     this->state->ledger.set_entry_count(static_cast<std::uint32_t>(listed.size() + 1));
+    // An entry that restarts while the store turns it away isn't listed and knows nobody,
+    // so it learns of the others only if they still send to it.
+    const time_point now = boot_now();
+    for (const auto& [entry, heard_at] : this->state->ledger.last_heard_times())
+    {
+        const auto known = this->peers.find(entry);
+        if (known != this->peers.end() && now - heard_at < unlisted_entry_memory)
+        {
+            listed.insert(*known);
+        }
+    }
     this->peers = std::move(listed);
 }
 
-std::string peer_exchange::random_peer_address() const
+std::string peer_exchange::address_of(const std::string& entry) const
 {
-    if (this->peers.empty())
-    {
-        return "";
-    }
-    auto peer = this->peers.begin();
-    std::advance(peer, this->state->random() % this->peers.size());
-    return peer->second.address().to_string() + ":" + std::to_string(peer->second.port());
+    const auto peer = this->peers.find(entry);
+    return peer == this->peers.end() ? "" : to_text(peer->second);
 }
 
 void peer_exchange::stop()
@@ -145,6 +158,7 @@
 {
     entry_digest digest = this->state->ledger.make_digest(now);
     digest.leaving = this->state->draining;
+    digest.reaches_store = this->state->store_reachable;
     digest.configuration_version =
         this->state->routing ? this->state->routing->version() : 0;
     if (!this->state->routing)
@@ -310,9 +324,7 @@
         this->state->routing ? this->state->routing->version() : 0;
     if (digest->configuration_version > own_version)
     {
-        this->on_newer_configuration(digest->configuration_version,
-                                     from.address().to_string() + ":" +
-                                         std::to_string(from.port()));
+        this->on_newer_configuration(digest->configuration_version, to_text(from));
     }
 }
 
@@ -355,7 +367,7 @@
 task<void> peer_handler::handle(caller_exchange& exchange)
 {
     constexpr int ok = 200;
-    constexpr int not_found = 404;
+    constexpr int unavailable = 503;
     const std::string_view path = exchange.request().path();
     caller_answer_head head;
     head.status = ok;
@@ -365,14 +377,16 @@
     {
         body = this->state->routing_document;
     }
-    else if (path == servers_path && this->state->backends)
+    else if (path == objects_path)
     {
-        body =
-            encode_servers({this->state->store_reachable, this->state->directory.all()});
+        const std::string_view target = exchange.request().head.target;
+        const std::size_t query = std::min(target.find('?'), target.size() - 1) + 1;
+        auto answer = co_await this->link->relay(std::string(target.substr(query)));
+        body = std::move(answer).value_or("");
     }
     if (body.empty())
     {
-        head.status = not_found;
+        head.status = unavailable;
     }
     co_await exchange.answer(std::move(head), std::move(body));
 }
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -1,5 +1,5 @@
-/// Communication between entries: digests by datagram, configurations and server lists by
-/// request.
+/// Communication between entries: digests by datagram, configurations and the platform's
+/// objects by request.
 #pragma once
 
 #include <functional>
@@ -30,8 +30,8 @@
     /// \brief Replaces the known entries by those that the platform lists.
     void set_entries(const std::vector<registered_entry>& entries);
 
-    /// \brief Returns a random other entry's address; empty when none is known.
-    [[nodiscard]] std::string random_peer_address() const;
+    /// \brief Returns another entry's address; empty when it isn't known.
+    [[nodiscard]] std::string address_of(const std::string& entry) const;
 
     void stop();
 
@@ -61,15 +61,17 @@
     bool stopped = false;
 };
 
-/// \brief Serves the configuration document and the list of servers to other entries.
+/// \brief Serves the configuration document and the platform's objects to other entries.
 class peer_handler final : public caller_handler
 {
   public:
     static constexpr std::string_view configuration_path = "/entry/configuration";
-    static constexpr std::string_view servers_path = "/entry/servers";
+    /// With a query that the platform's link reads.
+    static constexpr std::string_view objects_path = "/entry/objects";
 
-    explicit peer_handler(entry_state& entry)
+    peer_handler(entry_state& entry, platform_link& entry_link)
         : state(&entry)
+        , link(&entry_link)
     {
     }
 
@@ -80,6 +82,7 @@
 
   private:
     entry_state* state;
+    platform_link* link;
 };
 
 } // namespace agateseam
--- a/src/gateway/platform_link.hpp
+++ b/src/gateway/platform_link.hpp
@@ -4,12 +4,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include <agateseam/backend_directory.hpp>
 #include <agateseam/routing_table.hpp>
+#include <agateseam/store_watch_plan.hpp>
 #include <agateseam/usage.hpp>
 #include <transport/event_loop.hpp>
 
@@ -39,6 +41,10 @@
     virtual void on_server_removed(std::string_view id, bool after_outage) = 0;
     virtual void on_entries(std::vector<registered_entry> entries) = 0;
     virtual void on_store_reachability_changed(bool reached, std::string_view reason) = 0;
+
+    /// \brief Returns whether this entry should watch the platform's store now, and
+    /// otherwise the addresses of the entries to ask.
+    [[nodiscard]] virtual store_watch_plan plan_watch() const = 0;
 };
 
 /// \brief The link to the platform.
@@ -51,10 +57,14 @@
     virtual void start() = 0;
     virtual void stop() = 0;
 
-    /// \brief Reads the configuration now, for example when another entry has a newer
-    /// one.
+    /// \brief Reads the configuration from the store now, for example when another entry
+    /// has a newer one.
     virtual void refresh_configuration() = 0;
 
+    /// \brief Answers another entry that follows the platform's objects through this one.
+    /// \returns no value when this entry doesn't follow the store itself.
+    virtual task<std::optional<std::string>> relay(std::string query) = 0;
+
     /// \brief Removes this entry from the platform's list.
     virtual task<void> deregister() = 0;
 
--- a/tests/unit/platform_documents_test.cpp
+++ b/tests/unit/platform_documents_test.cpp
@@ -143,18 +143,6 @@
     CHECK(!dialect->read_request(head));
 }
 
-TEST_CASE("an encoded list of servers is decoded unchanged")
-{
-    const auto server = decode_server("i-1", server_document());
-    const auto decoded = decode_servers(encode_servers({true, {*server}}));
-    REQUIRE(decoded);
-    CHECK(decoded->store_reachable);
-    REQUIRE(decoded->servers.size() == 1);
-    CHECK(decoded->servers[0].address == server->address);
-    CHECK(decoded->servers[0].stage == engine_stage::decode);
-    CHECK(!decode_servers("[]"));
-}
-
 TEST_CASE("all faults in an entry's settings are reported")
 {
     const std::string valid_settings =
