Digests of hashed keys without what hasn't changed; sums of claims kept by each digest

Change: a digest is one array of integers, read without a tree; names are 64-bit hashes; whole digests leave out the buckets that didn't change during the last two of them, every 16th and the one after a new entry was heard are complete (digest_reducer). The ledger keeps the sums of claims by each change; placement gets the servers that changed, keeps the curve of its own streams until one changes, computes a new stream's curve once for all servers, and keeps only the rising part of its claims' history. Ruled out: a MessagePack library of its own, as nlohmann's event parser reads the same bytes.

--- a/include/agateseam/engine_placement.hpp
+++ b/include/agateseam/engine_placement.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <agateseam/backend_directory.hpp>
+#include <agateseam/keyed_map.hpp>
 #include <agateseam/memory_curve.hpp>
 #include <agateseam/routing_table.hpp>
 
@@ -32,6 +33,13 @@
         this->requests += other.requests;
     }
 
+    /// \brief Removes what `add` added before.
+    void subtract(const decode_claim& other) noexcept
+    {
+        this->memory.subtract(other.memory);
+        this->requests -= other.requests;
+    }
+
     void scale(double factor) noexcept
     {
         this->memory.scale(factor);
@@ -98,13 +106,15 @@
     {
         std::vector<std::pair<double, const server_state*>> candidates;
         std::uint64_t random_state = draw;
+        memory_curve stream_curve;
+        stream_curve.add(stream, this->stream_tokens_per_second);
         for (auto& [id, state] : this->server_states)
         {
             if (!this->accepts_decode(state, now) || !allowed(id))
             {
                 continue;
             }
-            const auto load = this->load_with_stream(state, stream, domain);
+            const auto load = this->load_with_stream(state, stream_curve, domain);
             if (load && this->wins_lottery(state, random_state, now))
             {
                 candidates.emplace_back(*load, &state);
@@ -171,8 +181,11 @@
     void record_refusal(const std::string& id, time_point now);
 
     /// \brief Replaces the sum of what the other entries have placed, by server id.
-    void set_others_claims(const std::unordered_map<std::string, decode_claim>& claims,
-                           time_point now);
+    void set_others_claims(const keyed_map<decode_claim>& claims, time_point now);
+
+    /// \brief Replaces what the other entries have placed at one server.
+    /// \returns whether the server has fewer of their requests than before.
+    bool set_others_claim(name_key server, const decode_claim& claim, time_point now);
 
     /// \brief Sets how many other entries have requests that wait for a decode place.
     void set_competing_entries(std::uint32_t entries)
@@ -189,18 +202,16 @@
                               time_point now);
     /// \brief Returns the orphaned tokens by server id, for the servers that have
     /// reported to this entry within `report_lifetime`.
-    [[nodiscard]] std::unordered_map<std::string, std::int64_t>
-    own_orphans(time_point now) const;
+    [[nodiscard]] keyed_map<std::int64_t> own_orphans(time_point now) const;
     /// \brief Replaces the orphaned tokens that the other entries found, by server id.
-    void set_others_orphans(
-        const std::unordered_map<std::string, std::int64_t>& orphan_tokens);
+    void set_others_orphans(const keyed_map<std::int64_t>& orphan_tokens);
 
     /// \brief Returns the listed servers that decode.
     [[nodiscard]] std::vector<std::shared_ptr<const backend_server>>
     decode_servers() const;
 
     /// \brief Returns what this entry has placed, by server id, for the other entries.
-    [[nodiscard]] std::unordered_map<std::string, decode_claim> own_claims() const;
+    [[nodiscard]] keyed_map<decode_claim> own_claims() const;
 
     /// \brief Tells whether any listed server could ever hold `tokens`.
     [[nodiscard]] bool could_hold(std::int64_t tokens) const;
@@ -220,8 +231,11 @@
         std::shared_ptr<const backend_server> server;
         bool listed = true;
         std::map<decode_stream_id, stream_memory> own_streams;
+        mutable decode_claim own_claim;           ///< Sum of `own_streams`, if valid.
+        mutable double own_claim_stream_rate = 0; ///< Of the sum; 0: not valid.
         decode_claim others_claim;
-        /// Times and claimed tokens, newest last.
+        /// Times and claimed tokens, newest last. Holds only the values that no later one
+        /// reaches, so the first is the highest.
         std::deque<std::pair<time_point, double>> claim_history;
         std::int64_t own_orphan_tokens = 0; ///< By the newest report to this entry.
         time_point reported_at{};
@@ -240,9 +254,10 @@
     /// stream, increased if the server is in another failure domain; no value if the
     /// stream doesn't fit.
     [[nodiscard]] std::optional<double> load_with_stream(const server_state& state,
-                                                         const stream_memory& stream,
+                                                         const memory_curve& stream,
                                                          std::string_view domain) const;
-    [[nodiscard]] decode_claim own_claim(const server_state& state) const;
+    [[nodiscard]] const decode_claim& own_claim(const server_state& state) const;
+    bool set_others_claim(server_state& state, const decode_claim& claim, time_point now);
     void record_claim(server_state& state, time_point now) const;
     [[nodiscard]] double prefill_load(const server_state& state,
                                       std::string_view domain) const;
@@ -252,6 +267,7 @@
     decode_stream_id next_stream_id = 1;
     std::uint32_t competing_entries = 0;
     std::unordered_map<std::string, server_state> server_states;
+    keyed_map<server_state*> states_by_key; ///< Into `server_states`.
 };
 
 } // namespace agateseam
--- a/include/agateseam/fleet_ledger.hpp
+++ b/include/agateseam/fleet_ledger.hpp
@@ -4,12 +4,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
-#include <agateseam/engine_placement.hpp>
+#include <agateseam/entry_digest.hpp>
 #include <agateseam/fleet_bucket.hpp>
 #include <agateseam/routing_table.hpp>
 #include <agateseam/store_watch_plan.hpp>
@@ -17,33 +17,6 @@
 namespace agateseam
 {
 
-/// \brief The state of one bucket in an entry's digest.
-struct bucket_report
-{
-    double spent = 0; ///< Net total since the entry's process started.
-    double level = 0; ///< Of the entry's copy.
-};
-
-/// \brief What an entry reports about itself. Its numbers are totals, so the next digest
-/// makes up for a lost one.
-struct entry_digest
-{
-    std::string entry;                       ///< Name of the VM.
-    std::uint64_t incarnation = 0;           ///< Differs for each start of the process.
-    std::uint64_t sequence = 0;              ///< Increases within an incarnation.
-    std::uint64_t age_ms = 0;                ///< Time since the process started.
-    std::uint64_t configuration_version = 0; ///< In force at the entry; 0: none.
-    std::uint32_t known_entries = 1;         ///< Includes the entry itself.
-    std::uint32_t waiting_requests = 0;      ///< Wait for a decode place at the entry.
-    bool leaving = false;
-    bool reaches_store = false; ///< By the entry's latest call to the store.
-    bool is_delta = false; ///< Holds only what changed; all else stays as last reported.
-    std::unordered_map<std::string, bucket_report> allowances;   ///< By workspace.
-    std::unordered_map<std::string, bucket_report> repeats;      ///< By service.
-    std::unordered_map<std::string, decode_claim> claims;        ///< By server id.
-    std::unordered_map<std::string, std::int64_t> orphan_tokens; ///< By server id.
-};
-
 /// \brief Limits from the entry's settings; the routing table has the other ones.
 struct fleet_ledger_options
 {
@@ -141,13 +114,25 @@
 
     /// \brief Returns the sum of the other entries' decode claims. An unreachable entry
     /// is assumed to have as many as the reachable ones have on average.
-    [[nodiscard]] std::unordered_map<std::string, decode_claim>
-    peer_claims(time_point now) const;
+    [[nodiscard]] keyed_map<decode_claim> peer_claims(time_point now);
+
+    /// \brief Returns the servers whose sum of claims changed since the last call.
+    /// \returns no value when any may have changed.
+    [[nodiscard]] std::optional<std::vector<name_key>> take_claim_changes(time_point now);
+
+    /// \brief Returns one server's sum of claims as of the last `take_claim_changes`.
+    [[nodiscard]] decode_claim peer_claim(name_key server) const;
 
     /// \brief Returns, by server, the largest number of tokens without a claim that any
     /// reachable entry reports.
-    [[nodiscard]] std::unordered_map<std::string, std::int64_t>
-    peer_orphan_tokens(time_point now) const;
+    [[nodiscard]] keyed_map<std::int64_t> peer_orphan_tokens(time_point now) const;
+
+    /// \brief Returns how often an entry was heard that wasn't reachable before. Such an
+    /// entry may know nothing of this one.
+    [[nodiscard]] std::uint64_t first_heard_count() const noexcept
+    {
+        return this->first_heard_entries;
+    }
 
     /// \brief Returns how many of the other reachable entries have waiting requests.
     [[nodiscard]] std::uint32_t peers_with_waiting_requests(time_point now) const;
@@ -171,22 +156,30 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         time_point last_heard{};
-        entry_digest last_digest; ///< Complete: deltas are merged into it.
+        /// All that is known of the entry: digests are merged into it.
+        entry_digest state;
+        /// Whether a bucket that `state` lacks is known to be unused.
+        bool has_all_buckets = false;
+        /// Whether its levels are taken, as this process is new and the peer's isn't.
+        bool raises_levels = false;
+        bool is_counted = false; ///< Its claims are part of `claim_sums`.
     };
-    using bucket_map = std::unordered_map<std::string, fleet_bucket>;
+    using bucket_map = keyed_map<fleet_bucket>;
 
     /// Charges what a peer spent since its previous reports, or raises levels to the
     /// peer's.
-    void
-    apply_reports(bucket_map& buckets,
-                  const std::unordered_map<std::string, bucket_report>& reports,
-                  const std::unordered_map<std::string, bucket_report>* previous_reports,
-                  bool raise_levels, time_point now);
-    /// Returns the complete state of a peer after a delta.
-    static entry_digest merge_digests(const entry_digest& previous,
-                                      const entry_digest& delta);
-    void set_bucket(bucket_map& buckets, const std::string& key,
-                    const bucket_limits& limits, double initial_level, time_point now);
+    static void apply_reports(bucket_map& buckets, peer& other,
+                              keyed_map<bucket_report>& known_reports,
+                              const keyed_map<bucket_report>& reports, time_point now);
+    void apply_claims(peer& other, const entry_digest& digest);
+    void set_claim(peer& other, name_key server, const decode_claim& claim);
+    void remove_claims(peer& other);
+    /// Removes the claims of entries that are no longer reachable from the sums.
+    void expire_claims(time_point now);
+    /// Returns the factor by which the reachable entries' claims stand for those of all.
+    [[nodiscard]] double unreachable_factor(time_point now) const;
+    void set_bucket(bucket_map& buckets, name_key key, const bucket_limits& limits,
+                    double initial_level, time_point now);
 
     std::string name;
     std::uint64_t incarnation;
@@ -197,6 +190,10 @@
     bucket_map allowances;
     bucket_map repeats;
     std::map<std::string, peer> peers;
+    keyed_map<decode_claim> claim_sums;   ///< Of the reachable entries, by server id.
+    std::vector<name_key> changed_claims; ///< Servers whose sum changed.
+    double reported_factor = 1; ///< Of the sums that `take_claim_changes` reported last.
+    std::uint64_t first_heard_entries = 0;
 };
 
 } // namespace agateseam
--- a/src/core/engine_placement.cpp
+++ b/src/core/engine_placement.cpp
@@ -46,6 +46,11 @@
                       return !state.listed && state.own_streams.empty() &&
                              state.prefill_tokens == 0;
                   });
+    this->states_by_key.clear();
+    for (auto& [id, state] : this->server_states)
+    {
+        this->states_by_key.emplace(id, &state);
+    }
 }
 
 bool engine_placement::accepts_decode(const server_state& state, time_point now) const
@@ -74,26 +79,32 @@
     return false;
 }
 
-decode_claim engine_placement::own_claim(const server_state& state) const
+/// Returns the sum of this entry's streams at a server. It is kept until a stream
+/// changes, as each stream costs a curve.
+const decode_claim& engine_placement::own_claim(const server_state& state) const
 {
-    decode_claim claim;
-    for (const auto& [stream_id, stream] : state.own_streams)
+    if (state.own_claim_stream_rate != this->stream_tokens_per_second)
     {
-        claim.memory.add(stream, this->stream_tokens_per_second);
+        state.own_claim = {};
+        for (const auto& [stream_id, stream] : state.own_streams)
+        {
+            state.own_claim.memory.add(stream, this->stream_tokens_per_second);
+        }
+        state.own_claim.requests = static_cast<std::uint32_t>(state.own_streams.size());
+        state.own_claim_stream_rate = this->stream_tokens_per_second;
     }
-    claim.requests = static_cast<std::uint32_t>(state.own_streams.size());
-    return claim;
+    return state.own_claim;
 }
 
 std::optional<double> engine_placement::load_with_stream(const server_state& state,
-                                                         const stream_memory& stream,
+                                                         const memory_curve& stream,
                                                          std::string_view domain) const
 {
     decode_claim claim = this->own_claim(state);
     claim.add(state.others_claim);
     const bool empty =
         claim.requests == 0 && state.own_orphan_tokens + state.others_orphan_tokens == 0;
-    claim.memory.add(stream, this->stream_tokens_per_second);
+    claim.memory.add(stream);
     const auto capacity = static_cast<double>(
         std::max<std::int64_t>(1, this->properties.kv_capacity_tokens));
     // Both numbers count the same orphans, so they are not added.
@@ -124,6 +135,7 @@
     if (found != this->server_states.end())
     {
         found->second.own_streams.emplace(stream_id, stream);
+        found->second.own_claim_stream_rate = 0;
     }
     return stream_id;
 }
@@ -140,6 +152,7 @@
     if (stream != found->second.own_streams.end())
     {
         stream->second.output_tokens = output_tokens;
+        found->second.own_claim_stream_rate = 0;
     }
 }
 
@@ -149,6 +162,7 @@
     if (found != this->server_states.end() &&
         found->second.own_streams.erase(stream_id) > 0)
     {
+        found->second.own_claim_stream_rate = 0;
         found->second.refusal_backoff_until = {};
     }
 }
@@ -181,28 +195,47 @@
     }
 }
 
-void engine_placement::set_others_claims(
-    const std::unordered_map<std::string, decode_claim>& claims, time_point now)
+void engine_placement::set_others_claims(const keyed_map<decode_claim>& claims,
+                                         time_point now)
 {
-    for (auto& [id, state] : this->server_states)
+    for (const auto& [key, state] : this->states_by_key)
     {
-        const auto found = claims.find(id);
-        const decode_claim new_claim =
-            found == claims.end() ? decode_claim{} : found->second;
-        if (new_claim.requests < state.others_claim.requests)
-        {
-            state.refusal_backoff_until = {};
-        }
-        state.others_claim = new_claim;
-        this->record_claim(state, now);
+        const auto found = claims.find(key);
+        this->set_others_claim(
+            *state, found == claims.end() ? decode_claim{} : found->second, now);
+    }
+}
+
+bool engine_placement::set_others_claim(name_key server, const decode_claim& claim,
+                                        time_point now)
+{
+    const auto found = this->states_by_key.find(server);
+    return found != this->states_by_key.end() &&
+           this->set_others_claim(*found->second, claim, now);
+}
+
+bool engine_placement::set_others_claim(server_state& state, const decode_claim& claim,
+                                        time_point now)
+{
+    const bool is_relieved = claim.requests < state.others_claim.requests;
+    if (is_relieved)
+    {
+        state.refusal_backoff_until = {};
     }
+    state.others_claim = claim;
+    this->record_claim(state, now);
+    return is_relieved;
 }
 
 void engine_placement::record_claim(server_state& state, time_point now) const
 {
-    decode_claim claim = this->own_claim(state);
-    claim.add(state.others_claim);
-    state.claim_history.emplace_back(now, claim.memory.mean.front());
+    const double tokens = this->own_claim(state).memory.mean.front() +
+                          state.others_claim.memory.mean.front();
+    while (!state.claim_history.empty() && state.claim_history.back().second <= tokens)
+    {
+        state.claim_history.pop_back();
+    }
+    state.claim_history.emplace_back(now, tokens);
     while (state.claim_history.front().first < now - claim_history_window)
     {
         state.claim_history.pop_front();
@@ -219,18 +252,15 @@
     }
     server_state& state = found->second;
     this->record_claim(state, now);
-    const auto highest = std::max_element(
-        state.claim_history.begin(), state.claim_history.end(),
-        [](const auto& left, const auto& right) { return left.second < right.second; });
-    state.own_orphan_tokens = std::max<std::int64_t>(
-        0, used_tokens - static_cast<std::int64_t>(highest->second));
+    const double highest = state.claim_history.front().second;
+    state.own_orphan_tokens =
+        std::max<std::int64_t>(0, used_tokens - static_cast<std::int64_t>(highest));
     state.reported_at = now;
 }
 
-std::unordered_map<std::string, std::int64_t>
-engine_placement::own_orphans(time_point now) const
+keyed_map<std::int64_t> engine_placement::own_orphans(time_point now) const
 {
-    std::unordered_map<std::string, std::int64_t> orphan_tokens;
+    keyed_map<std::int64_t> orphan_tokens;
     for (const auto& [id, state] : this->server_states)
     {
         if (state.own_orphan_tokens > 0 && now - state.reported_at < report_lifetime)
@@ -241,13 +271,12 @@
     return orphan_tokens;
 }
 
-void engine_placement::set_others_orphans(
-    const std::unordered_map<std::string, std::int64_t>& orphan_tokens)
+void engine_placement::set_others_orphans(const keyed_map<std::int64_t>& orphan_tokens)
 {
-    for (auto& [id, state] : this->server_states)
+    for (const auto& [key, state] : this->states_by_key)
     {
-        const auto reported = orphan_tokens.find(id);
-        state.others_orphan_tokens =
+        const auto reported = orphan_tokens.find(key);
+        state->others_orphan_tokens =
             reported == orphan_tokens.end() ? 0 : reported->second;
     }
 }
@@ -266,9 +295,9 @@
     return servers;
 }
 
-std::unordered_map<std::string, decode_claim> engine_placement::own_claims() const
+keyed_map<decode_claim> engine_placement::own_claims() const
 {
-    std::unordered_map<std::string, decode_claim> claims;
+    keyed_map<decode_claim> claims;
     for (const auto& [id, state] : this->server_states)
     {
         if (!state.own_streams.empty())
--- a/src/core/fleet_ledger.cpp
+++ b/src/core/fleet_ledger.cpp
@@ -1,6 +1,7 @@
 #include <agateseam/fleet_ledger.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -39,7 +40,7 @@
            base_digest_interval.count();
 }
 
-void fleet_ledger::set_bucket(bucket_map& buckets, const std::string& key,
+void fleet_ledger::set_bucket(bucket_map& buckets, name_key key,
                               const bucket_limits& limits, double initial_level,
                               time_point now)
 {
@@ -135,31 +136,31 @@
            found->second.try_take(1, this->view(now), now);
 }
 
-void fleet_ledger::apply_reports(
-    bucket_map& buckets, const std::unordered_map<std::string, bucket_report>& reports,
-    const std::unordered_map<std::string, bucket_report>* previous_reports,
-    bool raise_levels, time_point now)
+void fleet_ledger::apply_reports(bucket_map& buckets, peer& other,
+                                 keyed_map<bucket_report>& known_reports,
+                                 const keyed_map<bucket_report>& reports, time_point now)
 {
     for (const auto& [key, report] : reports)
     {
-        const auto found = buckets.find(key);
-        if (found == buckets.end())
+        const auto [known, is_first] = known_reports.try_emplace(key, report);
+        const auto bucket = buckets.find(key);
+        if (bucket != buckets.end())
         {
-            continue;
-        }
-        if (raise_levels)
-        {
-            found->second.raise_to(report.level, now);
-            continue;
+            if (!is_first)
+            {
+                bucket->second.charge_peer_spending(report.spent - known->second.spent,
+                                                    now);
+            }
+            else if (other.has_all_buckets)
+            {
+                bucket->second.charge_peer_spending(report.spent, now);
+            }
+            else if (other.raises_levels)
+            {
+                bucket->second.raise_to(report.level, now);
+            }
         }
-        if (previous_reports == nullptr)
-        {
-            continue;
-        }
-        const auto previous = previous_reports->find(key);
-        const double previous_spent =
-            previous == previous_reports->end() ? 0 : previous->second.spent;
-        found->second.charge_peer_spending(report.spent - previous_spent, now);
+        known->second = report;
     }
 }
 
@@ -175,45 +176,113 @@
     {
         return false;
     }
-    const bool was_reachable =
-        same_incarnation && now - other.last_heard < this->peer_timeout();
-    const bool peer_is_new =
-        digest.age_ms < static_cast<std::uint64_t>(new_entry_age.count());
-    const bool this_entry_is_new = now - this->started_at < new_entry_age;
-    static const std::unordered_map<std::string, bucket_report> no_reports;
-    // Spending of an unreachable entry isn't charged: the rate was reduced by its part.
-    const auto* previous_allowances = was_reachable ? &other.last_digest.allowances
-                                      : !same_incarnation && peer_is_new ? &no_reports
-                                                                         : nullptr;
-    const auto* previous_repeats = was_reachable ? &other.last_digest.repeats
-                                   : !same_incarnation && peer_is_new ? &no_reports
-                                                                      : nullptr;
-    const bool raise_levels = !same_incarnation && this_entry_is_new && !peer_is_new;
-    this->apply_reports(this->allowances, digest.allowances, previous_allowances,
-                        raise_levels, now);
-    this->apply_reports(this->repeats, digest.repeats, previous_repeats, raise_levels,
-                        now);
+    if (!same_incarnation || now - other.last_heard >= this->peer_timeout())
+    {
+        const bool peer_is_new =
+            digest.age_ms < static_cast<std::uint64_t>(new_entry_age.count());
+        const bool this_entry_is_new = now - this->started_at < new_entry_age;
+        this->remove_claims(other);
+        other.state = {};
+        // Spending while it was unreachable isn't charged: the rate was reduced by its
+        // part. A new process has spent nothing before.
+        other.has_all_buckets = !same_incarnation && peer_is_new;
+        other.raises_levels = !same_incarnation && this_entry_is_new && !peer_is_new;
+        ++this->first_heard_entries;
+    }
+    apply_reports(this->allowances, other, other.state.allowances, digest.allowances,
+                  now);
+    apply_reports(this->repeats, other, other.state.repeats, digest.repeats, now);
+    if (digest.scope == digest_scope::complete)
+    {
+        other.has_all_buckets = true;
+        other.raises_levels = false;
+    }
     other.incarnation = digest.incarnation;
     other.sequence = digest.sequence;
     other.last_heard = now;
-    other.last_digest = digest.is_delta && same_incarnation
-                            ? merge_digests(other.last_digest, digest)
-                            : digest;
+    other.state.configuration_version = digest.configuration_version;
+    other.state.known_entries = digest.known_entries;
+    other.state.waiting_requests = digest.waiting_requests;
+    other.state.leaving = digest.leaving;
+    other.state.reaches_store = digest.reaches_store;
+    this->apply_claims(other, digest);
     return true;
 }
 
-entry_digest fleet_ledger::merge_digests(const entry_digest& previous,
-                                         const entry_digest& delta)
-{
-    entry_digest complete = delta;
-    complete.is_delta = false;
-    // `insert` doesn't overwrite what the delta already set.
-    complete.allowances.insert(previous.allowances.begin(), previous.allowances.end());
-    complete.repeats.insert(previous.repeats.begin(), previous.repeats.end());
-    complete.claims.insert(previous.claims.begin(), previous.claims.end());
-    complete.orphan_tokens.insert(previous.orphan_tokens.begin(),
-                                  previous.orphan_tokens.end());
-    return complete;
+void fleet_ledger::apply_claims(peer& other, const entry_digest& digest)
+{
+    other.is_counted = true;
+    if (digest.scope != digest_scope::delta)
+    {
+        other.state.orphan_tokens = digest.orphan_tokens;
+        const keyed_map<decode_claim> known = other.state.claims;
+        for (const auto& [server, claim] : known)
+        {
+            if (digest.claims.find(server) == digest.claims.end())
+            {
+                this->set_claim(other, server, {});
+            }
+        }
+    }
+    for (const auto& [server, claim] : digest.claims)
+    {
+        this->set_claim(other, server, claim);
+    }
+}
+
+void fleet_ledger::set_claim(peer& other, name_key server, const decode_claim& claim)
+{
+    decode_claim& known = other.state.claims[server];
+    decode_claim& sum = this->claim_sums[server];
+    sum.subtract(known);
+    sum.add(claim);
+    known = claim;
+    if (sum.requests == 0)
+    {
+        this->claim_sums.erase(server);
+    }
+    if (claim.requests == 0)
+    {
+        other.state.claims.erase(server);
+    }
+    this->changed_claims.push_back(server);
+}
+
+void fleet_ledger::remove_claims(peer& other)
+{
+    if (other.is_counted)
+    {
+        const keyed_map<decode_claim> known = other.state.claims;
+        for (const auto& [server, claim] : known)
+        {
+            this->set_claim(other, server, {});
+        }
+        other.is_counted = false;
+    }
+}
+
+void fleet_ledger::expire_claims(time_point now)
+{
+    for (auto& [entry, other] : this->peers)
+    {
+        if (now - other.last_heard >= this->peer_timeout())
+        {
+            this->remove_claims(other);
+        }
+    }
+}
+
+double fleet_ledger::unreachable_factor(time_point now) const
+{
+    const fleet_view current = this->view(now);
+    if (current.reachable_entries <= 1 ||
+        current.reachable_entries >= current.known_entries)
+    {
+        return 1;
+    }
+    // Unreachable entries are assumed to place as many streams as the reachable ones.
+    return static_cast<double>(current.known_entries - 1) /
+           static_cast<double>(current.reachable_entries - 1);
 }
 
 entry_digest fleet_ledger::make_digest(time_point now)
@@ -237,48 +306,50 @@
     return digest;
 }
 
-std::unordered_map<std::string, decode_claim>
-fleet_ledger::peer_claims(time_point now) const
+keyed_map<decode_claim> fleet_ledger::peer_claims(time_point now)
 {
-    std::unordered_map<std::string, decode_claim> total_claims;
-    for (const auto& [key, other] : this->peers)
+    this->expire_claims(now);
+    keyed_map<decode_claim> scaled = this->claim_sums;
+    const double factor = this->unreachable_factor(now);
+    for (auto& [server, claim] : scaled)
     {
-        if (now - other.last_heard >= this->peer_timeout())
-        {
-            continue;
-        }
-        for (const auto& [server, claim] : other.last_digest.claims)
-        {
-            total_claims[server].add(claim);
-        }
+        claim.scale(factor);
     }
-    const fleet_view current_view = this->view(now);
-    if (current_view.reachable_entries > 1 &&
-        current_view.reachable_entries < current_view.known_entries)
+    return scaled;
+}
+
+std::optional<std::vector<name_key>> fleet_ledger::take_claim_changes(time_point now)
+{
+    this->expire_claims(now);
+    std::vector<name_key> changed = std::exchange(this->changed_claims, {});
+    const double factor = this->unreachable_factor(now);
+    if (std::exchange(this->reported_factor, factor) != factor)
     {
-        // Unreachable entries are assumed to place as many streams as the reachable ones.
-        const double scale_factor =
-            static_cast<double>(current_view.known_entries - 1) /
-            static_cast<double>(current_view.reachable_entries - 1);
-        for (auto& [server, claim] : total_claims)
-        {
-            claim.scale(scale_factor);
-        }
+        return std::nullopt;
     }
-    return total_claims;
+    std::sort(changed.begin(), changed.end());
+    changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
+    return changed;
 }
 
-std::unordered_map<std::string, std::int64_t>
-fleet_ledger::peer_orphan_tokens(time_point now) const
+decode_claim fleet_ledger::peer_claim(name_key server) const
 {
-    std::unordered_map<std::string, std::int64_t> found;
-    for (const auto& [key, other] : this->peers)
+    const auto found = this->claim_sums.find(server);
+    decode_claim claim = found == this->claim_sums.end() ? decode_claim{} : found->second;
+    claim.scale(this->reported_factor);
+    return claim;
+}
+
+keyed_map<std::int64_t> fleet_ledger::peer_orphan_tokens(time_point now) const
+{
+    keyed_map<std::int64_t> found;
+    for (const auto& [entry, other] : this->peers)
     {
         if (now - other.last_heard >= this->peer_timeout())
         {
             continue;
         }
-        for (const auto& [server, tokens] : other.last_digest.orphan_tokens)
+        for (const auto& [server, tokens] : other.state.orphan_tokens)
         {
             std::int64_t& largest = found[server];
             largest = std::max(largest, tokens);
@@ -292,7 +363,7 @@
     std::uint32_t count = 0;
     for (const auto& [key, other] : this->peers)
     {
-        const bool has_waiting_requests = other.last_digest.waiting_requests > 0 &&
+        const bool has_waiting_requests = other.state.waiting_requests > 0 &&
                                           now - other.last_heard < this->peer_timeout();
         count += has_waiting_requests ? 1 : 0;
     }
@@ -321,9 +392,9 @@
     std::vector<watch_candidate> candidates;
     for (const auto& [entry, other] : this->peers)
     {
-        if (now - other.last_heard < this->peer_timeout() && !other.last_digest.leaving)
+        if (now - other.last_heard < this->peer_timeout() && !other.state.leaving)
         {
-            candidates.push_back({entry, other.last_digest.reaches_store});
+            candidates.push_back({entry, other.state.reaches_store});
         }
     }
     return candidates;
@@ -338,8 +409,7 @@
         if (now - other.last_heard < this->peer_timeout())
         {
             ++reachable;
-            reported_entries =
-                std::max(reported_entries, other.last_digest.known_entries);
+            reported_entries = std::max(reported_entries, other.state.known_entries);
         }
     }
     // Without the platform's list the entry counts that the peers report are used.
@@ -365,7 +435,7 @@
     {
         if (now - other.last_heard < this->peer_timeout())
         {
-            newest = std::max(newest, other.last_digest.configuration_version);
+            newest = std::max(newest, other.state.configuration_version);
         }
     }
     return newest;
--- a/src/core/memory_curve.cpp
+++ b/src/core/memory_curve.cpp
@@ -169,6 +169,16 @@
     }
 }
 
+void memory_curve::subtract(const memory_curve& other) noexcept
+{
+    for (std::size_t index = 0; index < seconds_ahead.size(); ++index)
+    {
+        this->mean[index] -= other.mean[index];
+        this->variance[index] =
+            std::max(0.0, this->variance[index] - other.variance[index]);
+    }
+}
+
 void memory_curve::scale(double factor) noexcept
 {
     for (std::size_t index = 0; index < seconds_ahead.size(); ++index)
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -1,5 +1,6 @@
 #include <gateway/digest_codec.hpp>
 
+#include <bit>
 #include <cmath>
 
 #include <nlohmann/json.hpp>
@@ -12,105 +13,237 @@
 
 using json = nlohmann::json;
 
+/// A digest is one array: the entry's name, then integers in a fixed order, where each
+/// list begins with its length.
+constexpr std::int64_t format_version = 2;
 /// Amounts are sent as whole thousandths, which are shorter than floating point numbers.
 /// Requests earn hundredths of a repeat, so this is precise enough.
 constexpr double amount_scale = 1'000;
 
-json encode_buckets(const std::unordered_map<std::string, bucket_report>& buckets)
+json to_integer(std::uint64_t value)
 {
-    json list = json::object();
-    for (const auto& [name, report] : buckets)
+    return std::bit_cast<std::int64_t>(value);
+}
+
+void append_buckets(json& items, const keyed_map<bucket_report>& buckets)
+{
+    items.push_back(buckets.size());
+    for (const auto& [key, report] : buckets)
+    {
+        items.push_back(to_integer(key.hash()));
+        items.push_back(std::llround(report.spent * amount_scale));
+        items.push_back(std::llround(report.level * amount_scale));
+    }
+}
+
+void append_claims(json& items, const keyed_map<decode_claim>& claims)
+{
+    items.push_back(claims.size());
+    for (const auto& [key, claim] : claims)
     {
-        list[name] = {std::llround(report.spent * amount_scale),
-                      std::llround(report.level * amount_scale)};
+        items.push_back(to_integer(key.hash()));
+        items.push_back(claim.requests);
+        for (std::size_t index = 0; index < memory_curve::seconds_ahead.size(); ++index)
+        {
+            items.push_back(std::llround(claim.memory.mean[index]));
+            items.push_back(std::llround(std::sqrt(claim.memory.variance[index])));
+        }
     }
-    return list;
 }
 
-std::unordered_map<std::string, bucket_report> decode_buckets(const json& list)
+/// Receives the parser's events and collects the name and the integers, without a
+/// document tree: an entry reads some hundred digests a second.
+class item_collector final : public json::json_sax_t
 {
-    std::unordered_map<std::string, bucket_report> buckets;
-    for (const auto& [name, report] : list.items())
+  public:
+    std::string name;
+    std::vector<std::int64_t> integers;
+
+    bool null() override { return false; }
+    bool boolean(bool) override { return false; }
+    bool number_integer(number_integer_t value) override
+    {
+        this->integers.push_back(value);
+        return true;
+    }
+    bool number_unsigned(number_unsigned_t value) override
+    {
+        this->integers.push_back(std::bit_cast<std::int64_t>(value));
+        return true;
+    }
+    bool number_float(number_float_t, const string_t&) override { return false; }
+    bool string(string_t& value) override
     {
-        buckets[name] = {report.at(0).get<double>() / amount_scale,
-                         report.at(1).get<double>() / amount_scale};
+        const bool is_first = this->name.empty() && this->integers.empty();
+        this->name = std::move(value);
+        return is_first;
+    }
+    bool binary(binary_t&) override { return false; }
+    bool start_object(std::size_t) override { return false; }
+    bool key(string_t&) override { return false; }
+    bool end_object() override { return false; }
+    bool start_array(std::size_t) override { return true; }
+    bool end_array() override { return true; }
+    bool parse_error(std::size_t, const std::string&,
+                     const nlohmann::detail::exception&) override
+    {
+        return false;
+    }
+};
+
+/// Takes integers in their order. After the end it returns 0 and is no longer `valid`.
+class integer_reader
+{
+  public:
+    explicit integer_reader(const std::vector<std::int64_t>& read_integers)
+        : integers(&read_integers)
+    {
+    }
+
+    std::int64_t next()
+    {
+        if (this->position >= this->integers->size())
+        {
+            this->past_end = true;
+            return 0;
+        }
+        return (*this->integers)[this->position++];
+    }
+    std::uint64_t next_unsigned() { return std::bit_cast<std::uint64_t>(this->next()); }
+    name_key next_key() { return name_key::from_hash(this->next_unsigned()); }
+    double next_amount() { return static_cast<double>(this->next()) / amount_scale; }
+
+    /// Returns the length of a list; 0 when the items can't be there.
+    std::size_t next_length(std::size_t integers_per_item)
+    {
+        const std::uint64_t length = this->next_unsigned();
+        if (length > (this->integers->size() - this->position) / integers_per_item)
+        {
+            this->past_end = true;
+            return 0;
+        }
+        return length;
+    }
+
+    /// Tells whether all integers were read, and none beyond them.
+    [[nodiscard]] bool valid() const
+    {
+        return !this->past_end && this->position == this->integers->size();
+    }
+
+  private:
+    const std::vector<std::int64_t>* integers;
+    std::size_t position = 0;
+    bool past_end = false;
+};
+
+keyed_map<bucket_report> read_buckets(integer_reader& reader)
+{
+    keyed_map<bucket_report> buckets;
+    const std::size_t length = reader.next_length(3);
+    buckets.reserve(length);
+    for (std::size_t index = 0; index < length; ++index)
+    {
+        const name_key key = reader.next_key();
+        const double spent = reader.next_amount();
+        buckets.insert_or_assign(key, bucket_report{spent, reader.next_amount()});
     }
     return buckets;
 }
 
+keyed_map<decode_claim> read_claims(integer_reader& reader)
+{
+    keyed_map<decode_claim> claims;
+    const std::size_t length =
+        reader.next_length(2 + 2 * memory_curve::seconds_ahead.size());
+    claims.reserve(length);
+    for (std::size_t index = 0; index < length; ++index)
+    {
+        decode_claim& claim = claims[reader.next_key()];
+        claim.requests = static_cast<std::uint32_t>(reader.next_unsigned());
+        for (std::size_t moment = 0; moment < memory_curve::seconds_ahead.size();
+             ++moment)
+        {
+            claim.memory.mean[moment] = static_cast<double>(reader.next());
+            const auto deviation = static_cast<double>(reader.next());
+            claim.memory.variance[moment] = deviation * deviation;
+        }
+    }
+    return claims;
+}
+
+keyed_map<std::int64_t> read_orphans(integer_reader& reader)
+{
+    keyed_map<std::int64_t> orphans;
+    const std::size_t length = reader.next_length(2);
+    for (std::size_t index = 0; index < length; ++index)
+    {
+        const name_key key = reader.next_key();
+        orphans.insert_or_assign(key, reader.next());
+    }
+    return orphans;
+}
+
 } // namespace
 
 std::string encode_digest(const entry_digest& digest)
 {
-    json claims = json::object();
-    for (const auto& [server, claim] : digest.claims)
+    json items = json::array(
+        {digest.entry, format_version, to_integer(digest.incarnation), digest.sequence,
+         digest.age_ms, digest.configuration_version, digest.known_entries,
+         digest.waiting_requests, digest.leaving ? 1 : 0, digest.reaches_store ? 1 : 0,
+         static_cast<int>(digest.scope)});
+    append_buckets(items, digest.allowances);
+    append_buckets(items, digest.repeats);
+    append_claims(items, digest.claims);
+    items.push_back(digest.orphan_tokens.size());
+    for (const auto& [key, tokens] : digest.orphan_tokens)
     {
-        json curve = json::array({claim.requests});
-        for (std::size_t index = 0; index < memory_curve::seconds_ahead.size(); ++index)
-        {
-            curve.push_back(std::llround(claim.memory.mean[index]));
-            curve.push_back(std::llround(std::sqrt(claim.memory.variance[index])));
-        }
-        claims[server] = std::move(curve);
-    }
-    const json document{{"entry", digest.entry},
-                        {"incarnation", digest.incarnation},
-                        {"sequence", digest.sequence},
-                        {"age_ms", digest.age_ms},
-                        {"configuration", digest.configuration_version},
-                        {"entries", digest.known_entries},
-                        {"waiting", digest.waiting_requests},
-                        {"leaving", digest.leaving},
-                        {"store", digest.reaches_store},
-                        {"news", digest.is_delta},
-                        {"allowances", encode_buckets(digest.allowances)},
-                        {"repeats", encode_buckets(digest.repeats)},
-                        {"claims", claims},
-                        {"orphans", digest.orphan_tokens}};
+        items.push_back(to_integer(key.hash()));
+        items.push_back(tokens);
+    }
     std::string bytes;
-    json::to_msgpack(document,
-                     nlohmann::detail::output_adapter<char, std::string>(bytes));
+    json::to_msgpack(items, nlohmann::detail::output_adapter<char, std::string>(bytes));
     return bytes;
 }
 
 result<entry_digest> decode_digest(std::string_view bytes)
 {
-    try
-    {
-        const json document = json::from_msgpack(bytes.begin(), bytes.end());
-        entry_digest digest;
-        digest.entry = document.at("entry").get<std::string>();
-        digest.incarnation = document.at("incarnation").get<std::uint64_t>();
-        digest.sequence = document.at("sequence").get<std::uint64_t>();
-        digest.age_ms = document.at("age_ms").get<std::uint64_t>();
-        digest.configuration_version = document.at("configuration").get<std::uint64_t>();
-        digest.known_entries = document.at("entries").get<std::uint32_t>();
-        digest.waiting_requests = document.at("waiting").get<std::uint32_t>();
-        digest.leaving = document.at("leaving").get<bool>();
-        digest.reaches_store = document.at("store").get<bool>();
-        digest.is_delta = document.at("news").get<bool>();
-        digest.allowances = decode_buckets(document.at("allowances"));
-        digest.repeats = decode_buckets(document.at("repeats"));
-        digest.orphan_tokens =
-            document.at("orphans").get<std::unordered_map<std::string, std::int64_t>>();
-        for (const auto& [server, claim] : document.at("claims").items())
-        {
-            decode_claim& decoded = digest.claims[server];
-            decoded.requests = claim.at(0).get<std::uint32_t>();
-            for (std::size_t index = 0; index < memory_curve::seconds_ahead.size();
-                 ++index)
-            {
-                decoded.memory.mean[index] = claim.at(1 + 2 * index).get<double>();
-                const double deviation = claim.at(2 + 2 * index).get<double>();
-                decoded.memory.variance[index] = deviation * deviation;
-            }
-        }
-        return digest;
+    item_collector collected;
+    if (!json::sax_parse(bytes.begin(), bytes.end(), &collected,
+                         json::input_format_t::msgpack) ||
+        collected.name.empty())
+    {
+        return fail(error_code::invalid, "read digest", "", "not an array of a digest");
+    }
+    integer_reader reader(collected.integers);
+    if (reader.next() != format_version)
+    {
+        return fail(error_code::invalid, "read digest", collected.name,
+                    "a digest of another version");
     }
-    catch (const json::exception& fault)
+    entry_digest digest;
+    digest.entry = std::move(collected.name);
+    digest.incarnation = reader.next_unsigned();
+    digest.sequence = reader.next_unsigned();
+    digest.age_ms = reader.next_unsigned();
+    digest.configuration_version = reader.next_unsigned();
+    digest.known_entries = static_cast<std::uint32_t>(reader.next_unsigned());
+    digest.waiting_requests = static_cast<std::uint32_t>(reader.next_unsigned());
+    digest.leaving = reader.next() != 0;
+    digest.reaches_store = reader.next() != 0;
+    const std::int64_t scope = reader.next();
+    digest.scope = static_cast<digest_scope>(scope);
+    digest.allowances = read_buckets(reader);
+    digest.repeats = read_buckets(reader);
+    digest.claims = read_claims(reader);
+    digest.orphan_tokens = read_orphans(reader);
+    if (!reader.valid() || scope < 0 || scope > static_cast<int>(digest_scope::delta))
     {
-        return fail(error_code::invalid, "read digest", "", fault.what());
+        return fail(error_code::invalid, "read digest", digest.entry,
+                    "a list of another length than stated");
     }
+    return digest;
 }
 
 } // namespace agateseam
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -126,29 +126,20 @@
 
 task<void> peer_exchange::send_digests()
 {
-    time_point last_full_digest_at{};
     while (!this->stopped)
     {
         const time_point now = boot_now();
+        const duration interval = this->state->ledger.digest_interval();
         entry_digest digest = this->make_digest(now);
-        const entry_digest full_digest = digest;
-        const duration digest_every = this->state->ledger.digest_interval();
-        const bool send_delta = now - last_full_digest_at < digest_every;
-        if (send_delta)
-        {
-            this->reduce_to_delta(digest);
-        }
-        else
-        {
-            last_full_digest_at = now;
-        }
-        this->last_sent = full_digest;
+        this->reducer.reduce(digest, now, interval,
+                             this->state->ledger.first_heard_count());
+        const bool is_delta = digest.scope == digest_scope::delta;
         this->send_datagram(encode_digest(digest),
-                            send_delta ? delta_fanout : this->peers.size());
+                            is_delta ? delta_fanout : this->peers.size());
         this->log_reachability_changes(now);
-        this->update_claims();
+        this->update_all_claims();
         co_await pause_for(*this->state->loop, min_delta_interval);
-        const duration left = last_full_digest_at + digest_every - boot_now();
+        const duration left = this->reducer.next_whole_digest(interval) - boot_now();
         co_await this->state->digest_due.wait_for(
             std::max<duration>(left, min_delta_interval));
     }
@@ -179,34 +170,6 @@
     return digest;
 }
 
-/// Removes what the others know already, since each of them reads every entry's deltas.
-void peer_exchange::reduce_to_delta(entry_digest& digest) const
-{
-    digest.is_delta = true;
-    const auto same_spending = [](const auto& known, const auto& item)
-    {
-        const auto found = known.find(item.first);
-        return found != known.end() && found->second.spent == item.second.spent;
-    };
-    std::erase_if(digest.allowances, [&](const auto& item)
-                  { return same_spending(this->last_sent.allowances, item); });
-    std::erase_if(digest.repeats, [&](const auto& item)
-                  { return same_spending(this->last_sent.repeats, item); });
-    for (const auto& [server, claim] : this->last_sent.claims)
-    {
-        // A claim that ended is sent as an empty one.
-        digest.claims.try_emplace(server);
-    }
-    std::erase_if(digest.claims,
-                  [&](const auto& item)
-                  {
-                      const auto found = this->last_sent.claims.find(item.first);
-                      return found != this->last_sent.claims.end() &&
-                             found->second.requests == item.second.requests;
-                  });
-    digest.orphan_tokens.clear();
-}
-
 /// Sends to at most `max_peers` entries in the order of their names, from a random one
 /// on.
 void peer_exchange::send_datagram(const std::string& datagram, std::size_t max_peers)
@@ -328,40 +291,78 @@
     }
 }
 
-/// Sums up all digests that arrived within a short interval at once: each entry sends
-/// many a second, and each sum goes over all entries and servers.
+/// Passes on what digests that arrived within a short interval changed.
 task<void> peer_exchange::update_claims_periodically()
 {
     while (!this->stopped)
     {
         co_await this->digest_received.wait_for(fleet_ledger::base_digest_interval);
         co_await pause_for(*this->state->loop, min_claim_update_interval);
-        this->update_claims();
+        this->update_changed_claims();
     }
 }
 
-void peer_exchange::update_claims()
+/// Calls a function with each service of model servers.
+template <typename Action>
+void peer_exchange::for_each_engine_service(Action action)
 {
     if (!this->state->routing)
     {
         return;
     }
+    for (const service_properties& service : this->state->routing->services())
+    {
+        if (service.engine)
+        {
+            action(this->state->engines(service.name));
+        }
+    }
+}
+
+void peer_exchange::update_changed_claims()
+{
+    const time_point now = boot_now();
+    const auto changed = this->state->ledger.take_claim_changes(now);
+    if (!changed)
+    {
+        this->update_all_claims();
+        return;
+    }
+    const std::uint32_t competing_entries =
+        this->state->ledger.peers_with_waiting_requests(now);
+    this->for_each_engine_service(
+        [&](engine_service& engines)
+        {
+            engines.placement.set_competing_entries(competing_entries);
+            bool is_relieved = false;
+            for (const name_key server : *changed)
+            {
+                is_relieved |= engines.placement.set_others_claim(
+                    server, this->state->ledger.peer_claim(server), now);
+            }
+            if (is_relieved)
+            {
+                engines.capacity_changed.notify();
+            }
+        });
+}
+
+/// Passes on everything, also to servers that are listed since the last update.
+void peer_exchange::update_all_claims()
+{
     const time_point now = boot_now();
     const auto claims = this->state->ledger.peer_claims(now);
     const auto orphans = this->state->ledger.peer_orphan_tokens(now);
     const std::uint32_t competing_entries =
         this->state->ledger.peers_with_waiting_requests(now);
-    for (const service_properties& service : this->state->routing->services())
-    {
-        if (service.engine)
+    this->for_each_engine_service(
+        [&](engine_service& engines)
         {
-            engine_service& engines = this->state->engines(service.name);
             engines.placement.set_others_claims(claims, now);
             engines.placement.set_others_orphans(orphans);
             engines.placement.set_competing_entries(competing_entries);
             engines.capacity_changed.notify();
-        }
-    }
+        });
 }
 
 task<void> peer_handler::handle(caller_exchange& exchange)
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -43,10 +43,12 @@
     bool receive_one();
     void handle_datagram(std::string_view datagram, const asio::ip::udp::endpoint& from);
     [[nodiscard]] entry_digest make_digest(time_point now);
-    void reduce_to_delta(entry_digest& digest) const;
     void send_datagram(const std::string& datagram, std::size_t max_peers);
     task<void> update_claims_periodically();
-    void update_claims();
+    template <typename Action>
+    void for_each_engine_service(Action action);
+    void update_changed_claims();
+    void update_all_claims();
     void log_reachability_changes(time_point now);
 
     entry_state* state;
@@ -57,7 +59,7 @@
     /// digest.
     std::map<std::string, asio::ip::udp::endpoint> peers;
     std::set<std::string> reachable; ///< Entries that were reachable at the last log.
-    entry_digest last_sent;          ///< The basis of the next delta.
+    digest_reducer reducer;
     bool stopped = false;
 };
 
--- a/tests/unit/engine_placement_test.cpp
+++ b/tests/unit/engine_placement_test.cpp
@@ -208,7 +208,7 @@
     engine_placement engines = make_engines({make_server("d1", engine_stage::decode),
                                              make_server("d2", engine_stage::decode)},
                                             20'000);
-    std::unordered_map<std::string, decode_claim> others;
+    keyed_map<decode_claim> others;
     for (int number = 0; number < 3; ++number)
     {
         others["d1"].memory.add(make_stream(5'000, 1'000), 1'000);
@@ -291,7 +291,7 @@
     engines.set_others_claims({}, start);
     engines.end_decode("d2", stream_id);
     engines.record_memory_report("d2", 50'000, start + 900ms);
-    CHECK(!engines.own_orphans(start + 900ms).contains("d2"));
+    CHECK(engines.own_orphans(start + 900ms).count("d2") == 0);
     engines.record_memory_report("d1", 1'000, start + 900ms);
     engines.set_others_orphans({{"d1", 99'000}});
     CHECK(engines.choose_decode(stream, "a", start + 900ms, 1, allow_all)->id == "d2");
--- a/tests/unit/fleet_ledger_test.cpp
+++ b/tests/unit/fleet_ledger_test.cpp
@@ -439,7 +439,7 @@
     full_digest.claims["i-2"].requests = 1;
     CHECK(fleet.ledgers[0]->apply(full_digest, fleet.now));
     entry_digest delta = fleet.ledgers[1]->make_digest(fleet.now);
-    delta.is_delta = true;
+    delta.scope = digest_scope::delta;
     delta.allowances.clear();
     delta.claims["i-1"].requests = 3;
     CHECK(fleet.ledgers[0]->apply(delta, fleet.now));
@@ -455,5 +455,5 @@
     CHECK(fleet.ledgers[1]->try_take_tokens("oshana", 10, fleet.now));
     CHECK(fleet.ledgers[0]->apply(fleet.ledgers[1]->make_digest(fleet.now), fleet.now));
     claims = fleet.ledgers[0]->peer_claims(fleet.now);
-    CHECK(!claims.contains("i-1"));
+    CHECK(claims.count("i-1") == 0);
 }
