--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -16,6 +16,7 @@
 #include <agateseam/config_store.hpp>
 #include <agateseam/configuration.hpp>
 #include <agateseam/engine_placement.hpp>
+#include <agateseam/entry_digest.hpp>
 #include <agateseam/error.hpp>
 #include <agateseam/event.hpp>
 #include <agateseam/event_log.hpp>
@@ -25,6 +26,7 @@
 #include <agateseam/forecast.hpp>
 #include <agateseam/forward_declarations.hpp>
 #include <agateseam/hybrid_clock.hpp>
+#include <agateseam/keyed_map.hpp>
 #include <agateseam/member_selection.hpp>
 #include <agateseam/memory_curve.hpp>
 #include <agateseam/metrics.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -145,10 +145,19 @@
 struct fleet_view;
 class fleet_bucket;
 struct bucket_report;
+enum class digest_scope : std::uint8_t;
 struct entry_digest;
+class digest_reducer;
+class name_key;
 struct fleet_ledger_options;
 class fleet_ledger;
 
+// Changes in the platform's store, which some entries watch for all.
+struct object_change;
+class change_history;
+struct watch_candidate;
+struct store_watch_plan;
+
 // Placement, retries and prediction of work.
 enum class server_observation : std::uint8_t;
 class server_health_tracker;
@@ -162,6 +171,7 @@
 struct decode_claim;
 class engine_placement;
 struct waiting_request;
+struct fleet_queue;
 class waiting_queue;
 class model_latency_estimator;
 
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -18,6 +18,9 @@
 /// A request waits for at most this part of the time that its caller gives it. Then it is
 /// refused, with enough time left for the caller to come back.
 constexpr int max_wait_divisor = 3;
+/// A request waits for at most this many times its target latency. Callers who have got
+/// nothing by four times of it leave, and then have waited in vain.
+constexpr int max_wait_target_factor = 3;
 /// A waiting request looks for capacity at least this often, as reservations expire
 /// without a notification.
 constexpr auto poll_interval = 25ms;
@@ -60,7 +63,8 @@
     const time_point arrived = this->scope->exchange->request().arrived;
     const duration target_latency = this->scope->route->target_latency;
     const time_point wait_until =
-        arrived + (this->scope->deadline - arrived) / max_wait_divisor;
+        arrived + std::min<duration>((this->scope->deadline - arrived) / max_wait_divisor,
+                                     target_latency * max_wait_target_factor);
     const waiting_request waiting{this->scope->priority(), arrived,
                                   arrived + target_latency -
                                       this->engines->latency.expected_first_event_time()};
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -343,6 +343,29 @@
         check(response.status == 504 and 0.3 < elapsed_s < 0.6, response.status, elapsed_s)
 
 
+async def refuse_reservations(replica, request, reader, writer):
+    if request.target != "/v1/hold-take":
+        return None
+    writer.write(replica.refusal())
+    return True
+
+
+def test_a_waiting_request_is_refused_before_its_caller_leaves(build, directory):
+    """Guards against requests that wait for a third of a long deadline: their callers leave at
+    four times the target latency, which is 500 ms here."""
+    with start_site(build, directory) as site:
+        site.configure(2, routes=[route("/draft/", "streaming", "model", timeout_ms=14000)])
+        wait_for(lambda: site.get("/safe/a").status == 404, "version 2")
+        for replica in site.replicas_of("model", "decode"):
+            replica.handler = refuse_reservations
+        start_time = time.monotonic()
+        response = site.request_stream(Agateseam_Request_Deadline="14000")
+        elapsed_s = time.monotonic() - start_time
+        check(response.status == 503 and b"not_run" in response.body, response.status,
+              response.body)
+        check(1.2 < elapsed_s < 1.8, elapsed_s)
+
+
 def test_requests_wait_for_a_full_engine(build, directory):
     site = Site(build, directory)
     site.add_replica("model", stage="prefill")
