--- a/include/agateseam/keyed_map.hpp
+++ b/include/agateseam/keyed_map.hpp
@@ -1,7 +1,6 @@
 /// Maps whose keys are hashes of names, so that messages between entries hold no names.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -37,8 +36,14 @@
 
     [[nodiscard]] constexpr std::uint64_t hash() const noexcept { return this->value; }
 
-    [[nodiscard]] friend constexpr auto operator<=>(name_key,
-                                                    name_key) noexcept = default;
+    [[nodiscard]] friend constexpr bool operator==(name_key left, name_key right) noexcept
+    {
+        return left.value == right.value;
+    }
+    [[nodiscard]] friend constexpr bool operator<(name_key left, name_key right) noexcept
+    {
+        return left.value < right.value;
+    }
 
   private:
     std::uint64_t value = 0;
