--- a/tests/site/change_test.py
+++ b/tests/site/change_test.py
@@ -227,7 +227,8 @@
         # A pipe holds 64 KB; the log line of a request is about 400 bytes.
         start_time = time.monotonic()
         for _ in range(600):
-            check(site.get("/safe/a").status == 200)
+            response = site.get("/safe/a")
+            check(response.status == 200, response.status, response.body)
         check(time.monotonic() - start_time < 10)
         entry.end(signal.SIGTERM)
         log_text = entry.process.stdout.read().decode()
