Logs: what a stop did, which requests it cut, and what callers were told

The incident's hypotheses can't be told apart by today's logs: a request that is open when its process ends has no line at all, a request's last line lacks the status that its caller got, and an entry that closes its own watches logs that the store is out of reach.

- `request while stopping`: accepted or refused, time left, expected time, its limit.
- `request cut by the stop`: one line for each open request at the end, with its step, server, time of arrival since SIGTERM and expected time; `agateseam explain` reads it.
- `stopped` has the times of the drain and of the whole stop.
- `request` has the status and what a local answer says about the run; failed steps have the server's status.

No decision changes.

--- a/include/agateseam/clock.hpp
+++ b/include/agateseam/clock.hpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 
 #include <agateseam/forward_declarations.hpp>
 
@@ -19,6 +20,12 @@
 using wall_time =
     std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+/// \brief Returns a span in whole milliseconds, rounded towards zero.
+[[nodiscard]] constexpr std::int64_t whole_milliseconds(duration span) noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 /// \brief Provides the current monotonic and calendar time.
 class clock_source
 {
--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -139,6 +139,14 @@
 
 std::string cause_of(const request_explanation& explanation, const json* end)
 {
+    if (const json* cut = last_request_event(explanation, "request cut by the stop");
+        end == nullptr && cut != nullptr)
+    {
+        return "the process stopped while it waited for its " +
+               string_field(*cut, "step") + ", " + integer_text(*cut, "took_ms") +
+               " ms after it had arrived; it arrived " +
+               integer_text(*cut, "since_stop_ms") + " ms into the stop";
+    }
     if (end == nullptr)
     {
         return "its last line is missing: the process ended first, or the line was left "
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -329,6 +329,7 @@
         const time_point started_at = boot_now();
         const time_point deadline =
             started_at + this->state.settings.grace - duration(exit_margin);
+        this->state.drain_started_at = started_at;
         this->state.drain_deadline = deadline;
         this->state.digest_due.notify();
         while (boot_now() < deadline)
@@ -343,6 +344,8 @@
         }
         this->callers->stop_accepting();
         this->requests_cut = this->pipeline.open_request_count();
+        this->pipeline.log_cut_requests();
+        const duration drained_after = boot_now() - started_at;
         this->link->stop();
         if (this->state.store_reachable)
         {
@@ -351,7 +354,9 @@
         co_await this->link->deregister();
         log_line(this->requests_cut == 0 ? log_level::info : log_level::warning,
                  "stopped",
-                 {{"requests_cut", static_cast<std::int64_t>(this->requests_cut)}});
+                 {{"requests_cut", static_cast<std::int64_t>(this->requests_cut)},
+                  {"drained_ms", whole_milliseconds(drained_after)},
+                  {"took_ms", whole_milliseconds(boot_now() - started_at)}});
         this->loop.stop();
     }
 
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -81,7 +81,8 @@
     wake_signal digest_due; ///< Notified when other entries should get a digest soon.
     pcg32 random;
     bool store_reachable = false;
-    bool draining = false;       ///< Set by SIGTERM or SIGINT.
+    bool draining = false; ///< Set by SIGTERM or SIGINT.
+    time_point drain_started_at{};
     time_point drain_deadline{}; ///< Requests that are open then are cut off.
 
   private:
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -84,12 +84,14 @@
     /// Reserves decode memory, has the prompt prefilled and relays the stream.
     task<retry_decision> start_attempt()
     {
+        this->scope->step = "decode place";
         auto place = co_await this->place_search.find();
         if (!place)
         {
             co_return this->is_caller_gone() ? retry_decision::relay
                                              : retry_decision::report_not_run;
         }
+        this->scope->step = "prefill";
         const std::string kv_source =
             co_await this->prefiller.run(this->last_event_number);
         if (this->is_caller_gone())
@@ -180,6 +182,7 @@
         const auto shared_link = link.shared_from_this();
         const auto& dialect = *this->state->dialect;
         const time_point started_at = boot_now();
+        this->scope->step = "first event";
         const io_outcome end = co_await link.read_head(
             this->scope->deadline, make_reply_filter(dialect, this->scope->metadata.id));
         if (this->is_caller_gone())
@@ -217,7 +220,7 @@
         const io_outcome end =
             co_await link.read_whole(this->scope->deadline, max_failure_bytes);
         log_failure(*this->scope, "decode refused", place.chosen_server().id,
-                    std::to_string(head.status));
+                    reply.not_run ? "not_run" : "failed", head.status);
         if (reply.not_run)
         {
             this->state->pool.return_connection(shared_link);
@@ -248,8 +251,10 @@
         const auto shared_link = link.shared_from_this();
         if (!exchange.answered())
         {
+            this->scope->status = head.status;
             co_await exchange.begin(make_relayed_head(head));
         }
+        this->scope->step = "stream";
         const stream_end end = co_await this->relay_events(place, link);
         exchange.on_disconnect(nullptr);
         this->state->digest_due.notify();
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -130,11 +130,10 @@
 
 void place_finder::log_reserved(const backend_server& server) const
 {
-    const auto waited = std::chrono::duration_cast<milliseconds>(this->scope->queue_time);
     log_line(log_level::info, "decode place reserved",
              {{"request", this->scope->metadata.id},
               {"server", server.id},
-              {"waited_ms", waited.count()},
+              {"waited_ms", whole_milliseconds(this->scope->queue_time)},
               {"waiting", static_cast<std::int64_t>(this->engines->queue.size())}});
 }
 
@@ -150,16 +149,14 @@
 
 void place_finder::log_not_reserved(std::string_view reason) const
 {
-    const auto waited = std::chrono::duration_cast<milliseconds>(this->scope->queue_time);
     const std::size_t servers = this->engines->placement.decode_servers().size();
     log_line(log_level::info, "no decode place",
              {{"request", this->scope->metadata.id},
-              {"waited_ms", waited.count()},
+              {"waited_ms", whole_milliseconds(this->scope->queue_time)},
               {"waiting", static_cast<std::int64_t>(this->engines->queue.size())},
               {"servers", static_cast<std::int64_t>(servers)},
               {"reservations_refused", std::int64_t{this->reservations_refused}},
-              {"expected_wait_ms",
-               std::chrono::duration_cast<milliseconds>(this->expected_wait()).count()},
+              {"expected_wait_ms", whole_milliseconds(this->expected_wait())},
               {"reason", reason}});
 }
 
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -60,6 +60,7 @@
     {
         for (;;)
         {
+            this->scope->step = "server";
             const auto server = co_await this->find_server();
             attempt_result outcome;
             if (server)
@@ -215,8 +216,8 @@
                                 now - started_at, now);
         if (outcome.end != attempt_outcome::answered)
         {
-            log_failure(*this->scope, "attempt failed", server.id,
-                        to_string(outcome.end));
+            log_failure(*this->scope, "attempt failed", server.id, to_string(outcome.end),
+                        outcome.head.status);
         }
         co_return outcome;
     }
@@ -253,6 +254,7 @@
         link->send(this->state->dialect->write_request(exchange.request(), options),
                    exchange.request().body);
         ++this->requests_sent;
+        this->scope->step = "answer";
         outcome.end = co_await this->read_answer(link, server, outcome);
         exchange.on_disconnect(nullptr);
         this->state->pool.return_connection(link);
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -103,8 +103,8 @@
     {
         record_observation(*this->state, candidate->id, server_observation::refused,
                            elapsed);
-        log_failure(*this->scope, "prefill refused", candidate->id,
-                    std::to_string(reply.head.status));
+        log_failure(*this->scope, "prefill refused", candidate->id, "refused",
+                    reply.head.status);
         co_return "";
     }
     record_observation(*this->state, candidate->id, server_observation::good, elapsed);
--- a/src/gateway/request_pipeline.cpp
+++ b/src/gateway/request_pipeline.cpp
@@ -23,6 +23,9 @@
 /// A plain request has ended by then or won't succeed.
 constexpr auto max_plain_duration = 1'500ms;
 
+/// Lines about single requests that a stop writes; their number is in `stopped`.
+constexpr std::size_t max_cut_request_lines = 100;
+
 /// Returns what a request counts against its workspace's allowance.
 double allowance_cost(const workspace_limits& workspace, const request_metadata& metadata)
 {
@@ -43,9 +46,9 @@
     request_scope scope;
     scope.state = this->state;
     scope.exchange = &exchange;
-    ++this->open_requests;
+    this->open_requests.insert(&scope);
     co_await this->serve(scope);
-    --this->open_requests;
+    this->open_requests.erase(&scope);
     this->record_end(scope, started_at);
     add_request_usage(scope);
 }
@@ -125,7 +128,7 @@
 }
 
 /// Tells whether a request is likely to end before this process exits.
-bool request_pipeline::ends_before_stop(const request_scope& scope) const
+bool request_pipeline::ends_before_stop(request_scope& scope)
 {
     if (!this->state->draining)
     {
@@ -141,7 +144,52 @@
                      engines.output_lengths.likely_max_output(
                          scope.metadata.expected_output.value_or(0))));
     }
-    return boot_now() + expected_time < this->state->drain_deadline;
+    scope.expected_time = expected_time;
+    const bool accepted = boot_now() + expected_time < this->state->drain_deadline;
+    this->log_stop_decision(scope, accepted);
+    return accepted;
+}
+
+void request_pipeline::log_stop_decision(const request_scope& scope, bool accepted)
+{
+    this->state->counters.add(
+        std::string("agateseam_requests_while_stopping_total{decision=\"") +
+        (accepted ? "accepted" : "refused") + "\"}");
+    const time_point now = boot_now();
+    log_line(log_level::info, "request while stopping",
+             {{"request", scope.metadata.id},
+              {"accepted", accepted},
+              {"since_stop_ms", whole_milliseconds(now - this->state->drain_started_at)},
+              {"left_ms", whole_milliseconds(this->state->drain_deadline - now)},
+              {"expected_ms", whole_milliseconds(scope.expected_time)},
+              {"limit_ms", whole_milliseconds(scope.deadline - now)}});
+}
+
+void request_pipeline::log_cut_requests() const
+{
+    const time_point now = boot_now();
+    std::size_t lines = 0;
+    for (const request_scope* scope : this->open_requests)
+    {
+        if (++lines > max_cut_request_lines)
+        {
+            break;
+        }
+        const time_point arrived = scope->exchange->request().arrived;
+        log_line(
+            log_level::warning, "request cut by the stop",
+            {{"request", scope->metadata.id},
+             {"route", scope->route == nullptr ? std::string_view{}
+                                               : std::string_view(scope->route->name)},
+             {"server", scope->server},
+             {"step", scope->step},
+             {"since_stop_ms",
+              whole_milliseconds(arrived - this->state->drain_started_at)},
+             {"took_ms", whole_milliseconds(now - arrived)},
+             {"expected_ms", whole_milliseconds(scope->expected_time)},
+             {"output_tokens", scope->output_tokens},
+             {"caller_gone", scope->exchange->disconnected()}});
+    }
 }
 
 std::optional<local_answer> request_pipeline::admit(request_scope& scope)
@@ -165,7 +213,7 @@
               {"workspace", scope.workspace->name},
               {"tokens", cost},
               {"left", ledger.remaining_tokens(scope.workspace->name, now)},
-              {"wait_ms", std::chrono::duration_cast<milliseconds>(wait).count()},
+              {"wait_ms", whole_milliseconds(wait)},
               {"heard", std::int64_t{view.reachable_entries}},
               {"entries", std::int64_t{view.known_entries}}});
     return local_answer{status_too_many_requests, "over_allowance",
@@ -191,20 +239,20 @@
     this->state->counters.add("agateseam_requests_total{outcome=\"" + scope.outcome +
                               "\"}");
     this->state->counters.observe("agateseam_request_ms", elapsed);
-    const auto milliseconds_of = [](duration span)
-    { return std::chrono::duration_cast<milliseconds>(span).count(); };
     log_line(log_level::info, "request",
              {{"request", scope.metadata.id},
               {"workspace", scope.workspace_name()},
               {"route", scope.route == nullptr ? std::string_view{}
                                                : std::string_view(scope.route->name)},
               {"outcome", scope.outcome},
+              {"status", std::int64_t{scope.status}},
+              {"run", scope.run_statement},
               {"server", scope.server},
               {"attempts", std::int64_t{scope.attempts}},
-              {"waited_ms", milliseconds_of(scope.queue_time)},
-              {"first_event_ms", milliseconds_of(scope.time_to_first_event)},
-              {"longest_gap_ms", milliseconds_of(scope.longest_gap)},
-              {"took_ms", milliseconds_of(elapsed)},
+              {"waited_ms", whole_milliseconds(scope.queue_time)},
+              {"first_event_ms", whole_milliseconds(scope.time_to_first_event)},
+              {"longest_gap_ms", whole_milliseconds(scope.longest_gap)},
+              {"took_ms", whole_milliseconds(elapsed)},
               {"prompt_tokens", scope.metadata.prompt_tokens},
               {"output_tokens", scope.output_tokens},
               {"expected_output", scope.metadata.expected_output.value_or(0)},
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -36,6 +36,9 @@
 task<void> send_local_answer(request_scope& scope, local_answer answer)
 {
     scope.outcome = answer.reason;
+    scope.status = answer.status;
+    scope.run_statement =
+        answer.execution == execution_state::not_run ? "not_run" : "unknown";
     if (answer.execution == execution_state::not_run)
     {
         scope.refund_charged_tokens();
@@ -53,7 +56,7 @@
     std::string body = R"({"error":{"code":")";
     body += answer.reason;
     body += R"(","run":")";
-    body += answer.execution == execution_state::not_run ? "not_run" : "unknown";
+    body += scope.run_statement;
     body += "\"}}";
     co_await scope.exchange->answer(std::move(head), std::move(body));
 }
@@ -73,10 +76,13 @@
 }
 
 void log_failure(const request_scope& scope, std::string_view event,
-                 std::string_view server, std::string_view reason)
+                 std::string_view server, std::string_view reason, int status)
 {
     log_line(log_level::info, event,
-             {{"request", scope.metadata.id}, {"server", server}, {"reason", reason}});
+             {{"request", scope.metadata.id},
+              {"server", server},
+              {"reason", reason},
+              {"status", std::int64_t{status}}});
 }
 
 caller_answer_head make_relayed_head(const message_head& head)
@@ -97,6 +103,7 @@
 
 task<void> relay_answer(request_scope& scope, const message_head& head, std::string body)
 {
+    scope.status = head.status;
     co_await scope.exchange->answer(make_relayed_head(head), std::move(body));
 }
 
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -24,6 +24,10 @@
 
     // Values for the log line at the request's end.
     std::string outcome = "none";
+    std::string_view step = "admission"; ///< What the request waits for.
+    int status = 0;                      ///< Of the answer; 0 before it.
+    std::string_view run_statement;      ///< What a local answer says about the run.
+    duration expected_time{};            ///< Estimated while the process stops.
     std::string server;
     std::uint32_t attempts = 0;
     duration queue_time{};
@@ -86,8 +90,9 @@
                         server_observation observation, duration elapsed);
 
 /// \brief Logs a failed step of a request.
+/// \param status of the server's reply; 0 without one.
 void log_failure(const request_scope& scope, std::string_view event,
-                 std::string_view server, std::string_view reason);
+                 std::string_view server, std::string_view reason, int status = 0);
 
 /// \brief Relays a backend server's whole answer to the caller.
 task<void> relay_answer(request_scope& scope, const message_head& head, std::string body);
--- a/tests/unit/request_explanation_test.cpp
+++ b/tests/unit/request_explanation_test.cpp
@@ -90,6 +90,20 @@
     CHECK(explanation->outcome == "answered");
 }
 
+TEST_CASE("a request that a stop cut is explained by its line about the stop")
+{
+    request_explainer explainer("q1");
+    explainer.add_line(log_line_text(1'000'000, "e1", "request cut by the stop",
+                                     R"(,"request":"q1","step":"first event")"
+                                     R"(,"took_ms":1890,"since_stop_ms":5640)"));
+    explainer.add_line(log_line_text(1'001'000, "e1", "stopped"));
+    const auto explanation = explainer.explain();
+    REQUIRE(explanation);
+    CHECK(explanation->cause.find("waited for its first event, 1890 ms") !=
+          std::string::npos);
+    CHECK(explanation->cause.find("5640 ms into the stop") != std::string::npos);
+}
+
 TEST_CASE("an unknown request and missing lines are reported")
 {
     request_explainer explainer("q1");
