A stop takes requests by a bound, not by an estimate alone, and answers the rest

Callers saw (LOST): streams and calls that a stopping entry had taken ended with a closed connection.

Cause: a stop took every request whose expected duration ended before the process did. The expectation is 1.4 times an average of streams that ended (for plain calls 1.5 s), and holds neither the wait for a decode place, nor a prefill that is sent again, nor a server that turns slow. Callers who keep their connection, or whose zone has no other entry, send until the process is gone, so each stop took some requests in its last seconds on that guess. Those that took longer were cut by the exit, without an answer. The class: a commitment to a caller rests on an estimate where a bound is needed.

Change: stop_schedule decides. After the 2.5 s in which callers are moved, a request is taken only if its final answer is due, at its own deadline, before the stop ends; the estimate may only refuse. A request that was taken but not yet sent to a server is refused as "stopping" when the estimate says that it can't end in time, so that its caller goes elsewhere. What is open at the end of the stop is answered (503 if it was not sent, 502 if it may have run) or, in the middle of a stream, visibly cut. The exit keeps 800 ms for this and its store calls instead of 500. A connection with unread bytes isn't closed as idle, and one that is accepted while the listener closes isn't served.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -46,6 +46,7 @@
 #include <agateseam/share_messages.hpp>
 #include <agateseam/share_transport.hpp>
 #include <agateseam/static_admission.hpp>
+#include <agateseam/stop_schedule.hpp>
 #include <agateseam/store_budget.hpp>
 #include <agateseam/store_watch_plan.hpp>
 #include <agateseam/token_buckets.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -174,5 +174,6 @@
 struct fleet_queue;
 class waiting_queue;
 class model_latency_estimator;
+class stop_schedule;
 
 } // namespace agateseam
--- a/src/gateway/entry_handlers.cpp
+++ b/src/gateway/entry_handlers.cpp
@@ -17,7 +17,7 @@
     const bool is_readiness_path =
         exchange.request().path() == this->state->dialect->readiness_path();
     const bool ready =
-        this->state->routing && this->state->backends && !this->state->draining;
+        this->state->routing && this->state->backends && !this->state->draining();
     caller_answer_head head;
     head.status = !is_readiness_path ? status_not_found
                   : ready            ? status_ok
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -23,10 +23,11 @@
 constexpr auto cleanup_interval = 250ms;
 constexpr auto settings_poll_interval =
     2'000ms; ///< The file may change without a signal.
-/// The platform checks readiness once a second and removes an entry after two failures.
-constexpr auto caller_migration_time = 2'500ms;
-/// Part of the grace period that is reserved for the exit itself.
-constexpr auto exit_margin = 500ms;
+/// Part of the grace period that is reserved for the exit itself: the last answers, the
+/// last usage record and the deregistration, each with its time-out.
+constexpr auto exit_margin = 800ms;
+/// Time for the requests that are open at the end of a stop to be answered or cut.
+constexpr auto last_answers_time = 100ms;
 constexpr auto min_configuration_fetch_interval = 300ms;
 /// New servers are published together after this delay, which is small beside the seconds
 /// for which a server lives.
@@ -176,7 +177,7 @@
     {
         store_watch_plan plan =
             plan_store_watch({this->state.settings.vm,
-                              this->state.store_reachable && !this->state.draining},
+                              this->state.store_reachable && !this->state.draining()},
                              this->state.ledger.watch_candidates(boot_now()));
         for (std::string& relay : plan.relays)
         {
@@ -310,9 +311,10 @@
                 this->reload("signal");
                 continue;
             }
-            if (!this->state.draining)
+            if (!this->state.draining())
             {
-                this->state.draining = true;
+                this->state.stop.emplace(boot_now(), this->state.settings.grace -
+                                                         duration(exit_margin));
                 log_line(log_level::info, "draining",
                          {{"signal", std::int64_t{signal}},
                           {"requests", static_cast<std::int64_t>(
@@ -323,29 +325,28 @@
     }
 
     /// Keeps serving until the platform has moved callers away and all requests have
-    /// ended.
+    /// ended. Those that are open at the end are answered or visibly cut.
     task<void> drain()
     {
-        const time_point started_at = boot_now();
-        const time_point deadline =
-            started_at + this->state.settings.grace - duration(exit_margin);
-        this->state.drain_started_at = started_at;
-        this->state.drain_deadline = deadline;
+        const stop_schedule& stop = *this->state.stop;
         this->state.digest_due.notify();
-        while (boot_now() < deadline)
+        while (boot_now() < stop.ends_at())
         {
             co_await pause_for(this->loop, 50ms);
-            const bool callers_moved =
-                boot_now() - started_at >= duration(caller_migration_time);
-            if (callers_moved && this->callers->close_idle() == 0)
+            if (stop.callers_moved(boot_now()) && this->callers->close_idle() == 0)
             {
                 break;
             }
         }
-        this->callers->stop_accepting();
-        this->requests_cut = this->pipeline.open_request_count();
+        const duration drained_after = boot_now() - stop.started_at();
         this->pipeline.log_cut_requests();
-        const duration drained_after = boot_now() - started_at;
+        this->requests_cut = this->pipeline.interrupt_open_requests();
+        const time_point answered_by = boot_now() + duration(last_answers_time);
+        while (this->pipeline.open_request_count() > 0 && boot_now() < answered_by)
+        {
+            co_await pause_for(this->loop, 5ms);
+        }
+        this->callers->stop_accepting();
         this->link->stop();
         if (this->state.store_reachable)
         {
@@ -356,7 +357,7 @@
                  "stopped",
                  {{"requests_cut", static_cast<std::int64_t>(this->requests_cut)},
                   {"drained_ms", whole_milliseconds(drained_after)},
-                  {"took_ms", whole_milliseconds(boot_now() - started_at)}});
+                  {"took_ms", whole_milliseconds(boot_now() - stop.started_at())}});
         this->loop.stop();
     }
 
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -18,6 +19,7 @@
 #include <agateseam/model_latency_estimator.hpp>
 #include <agateseam/routing_table.hpp>
 #include <agateseam/server_health_tracker.hpp>
+#include <agateseam/stop_schedule.hpp>
 #include <agateseam/usage_account.hpp>
 #include <agateseam/waiting_queue.hpp>
 #include <gateway/backend_dialect.hpp>
@@ -57,6 +59,9 @@
     [[nodiscard]] const std::vector<std::shared_ptr<const backend_server>>&
     servers_of(const std::string& service) const;
 
+    /// \brief Tells whether the process was told to stop.
+    [[nodiscard]] bool draining() const noexcept { return this->stop.has_value(); }
+
     /// \brief Returns a server by id if it is still usable, or null.
     [[nodiscard]] std::shared_ptr<const backend_server>
     server(const std::string& service, const std::string& id) const;
@@ -81,9 +86,7 @@
     wake_signal digest_due; ///< Notified when other entries should get a digest soon.
     pcg32 random;
     bool store_reachable = false;
-    bool draining = false; ///< Set by SIGTERM or SIGINT.
-    time_point drain_started_at{};
-    time_point drain_deadline{}; ///< Requests that are open then are cut off.
+    std::optional<stop_schedule> stop; ///< Set by SIGTERM or SIGINT.
 
   private:
     std::map<std::string, std::unique_ptr<engine_service>> engine_services;
--- a/src/gateway/memory_report_poller.cpp
+++ b/src/gateway/memory_report_poller.cpp
@@ -59,7 +59,7 @@
     for (;;)
     {
         co_await pause_for(*state.loop, poll_interval);
-        if (!state.routing || state.draining)
+        if (!state.routing || state.draining())
         {
             continue;
         }
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -107,7 +107,7 @@
             co_return retry_decision::relay;
         }
         if (this->time_remaining() < min_model_attempt_time ||
-            !this->scope->is_key_valid())
+            this->scope->is_stopped(boot_now()) || !this->scope->is_key_valid())
         {
             this->place_search.release(*place);
             this->release_kv_cache(kv_source);
@@ -426,6 +426,12 @@
             this->scope->exchange->abort();
             co_return;
         }
+        if (decision == retry_decision::report_not_run &&
+            this->scope->is_stopped(boot_now()))
+        {
+            co_await send_local_answer(*this->scope, make_stopping_answer());
+            co_return;
+        }
         if (decision == retry_decision::report_not_run)
         {
             co_await this->send_unavailable("no_decode_place", this->retry_after_time());
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -148,7 +148,7 @@
 entry_digest peer_exchange::make_digest(time_point now)
 {
     entry_digest digest = this->state->ledger.make_digest(now);
-    digest.leaving = this->state->draining;
+    digest.leaving = this->state->draining();
     digest.reaches_store = this->state->store_reachable;
     digest.configuration_version =
         this->state->routing ? this->state->routing->version() : 0;
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -74,8 +74,9 @@
     while (!this->scope->exchange->disconnected())
     {
         const time_point now = boot_now();
-        if (now >= wait_until || !this->scope->is_key_valid() ||
-            now + this->expected_wait() > wait_until)
+        if (now >= std::min(wait_until, this->scope->deadline) ||
+            !this->scope->is_key_valid() || now + this->expected_wait() > wait_until ||
+            this->scope->is_stopped(now + this->expected_wait()))
         {
             break;
         }
@@ -124,6 +125,7 @@
     this->scope->queue_time = boot_now() - arrived;
     this->engines->capacity_changed.notify();
     this->log_not_reserved(this->scope->exchange->disconnected() ? "caller gone"
+                           : this->scope->is_stopped(boot_now()) ? "stopping"
                                                                  : "no memory in time");
     co_return nullptr;
 }
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -28,7 +28,9 @@
 {
     std::vector<std::string> tried;
     for (std::uint32_t attempt = 0;
-         attempt < max_servers_tried && !this->scope->exchange->disconnected(); ++attempt)
+         attempt < max_servers_tried && !this->scope->exchange->disconnected() &&
+         boot_now() < this->scope->deadline;
+         ++attempt)
     {
         const auto candidate = this->choose(tried);
         if (!candidate || !this->may_call_server())
--- a/src/gateway/request_pipeline.cpp
+++ b/src/gateway/request_pipeline.cpp
@@ -20,8 +20,6 @@
 /// Retry-After time before the first configuration, which takes at most a second to read.
 constexpr auto no_configuration_retry_after = 1'000ms;
 constexpr auto min_retry_after = 50ms;
-/// A plain request has ended by then or won't succeed.
-constexpr auto max_plain_duration = 1'500ms;
 
 /// Lines about single requests that a stop writes; their number is in `stopped`.
 constexpr std::size_t max_cut_request_lines = 100;
@@ -82,11 +80,9 @@
         scope.route->timeout > milliseconds(0) ? scope.route->timeout : max_wait;
     scope.deadline = request.arrived + std::min(max_wait, timeout);
     scope.service = std::string(scope.route->service_for(scope.metadata.id));
-    if (!this->ends_before_stop(scope))
+    if (!this->takes(scope))
     {
-        co_await send_local_answer(scope,
-                                   {status_unavailable, "stopping",
-                                    execution_state::not_run, duration(min_retry_after)});
+        co_await send_local_answer(scope, make_stopping_answer());
         co_return;
     }
     if (const auto refusal = this->admit(scope))
@@ -127,42 +123,39 @@
     return std::nullopt;
 }
 
-/// Tells whether a request is likely to end before this process exits.
-bool request_pipeline::ends_before_stop(request_scope& scope)
+/// Tells whether the process takes the request, which it may not when it stops.
+bool request_pipeline::takes(const request_scope& scope)
 {
-    if (!this->state->draining)
+    if (!this->state->stop)
     {
         return true;
     }
-    const auto plain_time = std::min<duration>(scope.route->timeout, max_plain_duration);
-    duration expected_time = plain_time;
-    if (scope.is_model_request())
-    {
-        const engine_service& engines = this->state->engines(scope.service);
-        expected_time = engines.latency.expected_duration(
-            std::min(scope.metadata.output_tokens,
-                     engines.output_lengths.likely_max_output(
-                         scope.metadata.expected_output.value_or(0))));
-    }
-    scope.expected_time = expected_time;
-    const bool accepted = boot_now() + expected_time < this->state->drain_deadline;
-    this->log_stop_decision(scope, accepted);
-    return accepted;
-}
-
-void request_pipeline::log_stop_decision(const request_scope& scope, bool accepted)
-{
+    const stop_schedule& stop = *this->state->stop;
+    const time_point now = boot_now();
+    const duration expected_time = scope.expected_duration();
+    const bool accepted = stop.accepts(now, scope.deadline, expected_time);
     this->state->counters.add(
         std::string("agateseam_requests_while_stopping_total{decision=\"") +
         (accepted ? "accepted" : "refused") + "\"}");
-    const time_point now = boot_now();
     log_line(log_level::info, "request while stopping",
              {{"request", scope.metadata.id},
               {"accepted", accepted},
-              {"since_stop_ms", whole_milliseconds(now - this->state->drain_started_at)},
-              {"left_ms", whole_milliseconds(this->state->drain_deadline - now)},
-              {"expected_ms", whole_milliseconds(scope.expected_time)},
+              {"since_stop_ms", whole_milliseconds(now - stop.started_at())},
+              {"left_ms", whole_milliseconds(stop.ends_at() - now)},
+              {"expected_ms", whole_milliseconds(expected_time)},
               {"limit_ms", whole_milliseconds(scope.deadline - now)}});
+    return accepted;
+}
+
+std::size_t request_pipeline::interrupt_open_requests()
+{
+    const time_point now = boot_now();
+    for (request_scope* scope : this->open_requests)
+    {
+        scope->deadline = std::min(scope->deadline, now);
+        scope->exchange->interrupt();
+    }
+    return this->open_requests.size();
 }
 
 void request_pipeline::log_cut_requests() const
@@ -184,9 +177,8 @@
              {"server", scope->server},
              {"step", scope->step},
              {"since_stop_ms",
-              whole_milliseconds(arrived - this->state->drain_started_at)},
+              whole_milliseconds(arrived - this->state->stop->started_at())},
              {"took_ms", whole_milliseconds(now - arrived)},
-             {"expected_ms", whole_milliseconds(scope->expected_time)},
              {"output_tokens", scope->output_tokens},
              {"caller_gone", scope->exchange->disconnected()}});
     }
--- a/src/gateway/request_pipeline.hpp
+++ b/src/gateway/request_pipeline.hpp
@@ -21,7 +21,7 @@
 
     task<void> handle(caller_exchange& exchange) override;
     [[nodiscard]] caller_limits limits() const override;
-    [[nodiscard]] bool closing() const override { return this->state->draining; }
+    [[nodiscard]] bool closing() const override { return this->state->draining(); }
     void refused(int status, std::string_view reason) override;
 
     /// \brief Returns the number of requests in progress.
@@ -30,19 +30,23 @@
         return this->open_requests.size();
     }
 
-    /// \brief Logs the requests in progress, which end with the process.
+    /// \brief Logs the requests in progress, which the end of the process cuts.
     void log_cut_requests() const;
 
+    /// \brief Moves the deadlines of all requests in progress to now, so that each is
+    /// answered or visibly cut.
+    /// \returns their number.
+    std::size_t interrupt_open_requests();
+
   private:
     task<void> serve(request_scope& scope);
     [[nodiscard]] std::optional<local_answer> authenticate(request_scope& scope) const;
     [[nodiscard]] std::optional<local_answer> admit(request_scope& scope);
-    [[nodiscard]] bool ends_before_stop(request_scope& scope);
-    void log_stop_decision(const request_scope& scope, bool accepted);
+    [[nodiscard]] bool takes(const request_scope& scope);
     void record_end(const request_scope& scope, time_point started_at);
 
     entry_state* state;
-    std::unordered_set<const request_scope*> open_requests;
+    std::unordered_set<request_scope*> open_requests;
 };
 
 } // namespace agateseam
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -1,5 +1,6 @@
 #include <gateway/request_scope.hpp>
 
+#include <algorithm>
 #include <cstdio>
 
 namespace agateseam
@@ -8,6 +9,11 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
+/// A plain request has ended by then or won't succeed.
+constexpr auto max_plain_duration = 1'500ms;
+constexpr auto stopping_retry_after = 50ms;
 constexpr local_answer unknown_outcome{
     status_bad_gateway, "answer_lost", execution_state::unknown, {}};
 
@@ -20,6 +26,24 @@
            this->metadata.declares_tokens && this->route->rule == repeat_rule::stream;
 }
 
+duration request_scope::expected_duration() const
+{
+    if (!this->is_model_request())
+    {
+        return std::min<duration>(this->route->timeout, max_plain_duration);
+    }
+    const engine_service& engines = this->state->engines(this->service);
+    return engines.latency.expected_duration(std::min(
+        this->metadata.output_tokens, engines.output_lengths.likely_max_output(
+                                          this->metadata.expected_output.value_or(0))));
+}
+
+bool request_scope::is_stopped(time_point now) const
+{
+    return this->state->stop &&
+           !this->state->stop->may_send(now, this->expected_duration());
+}
+
 bool request_scope::is_key_valid() const
 {
     if (this->workspace == nullptr)
@@ -41,6 +65,12 @@
     }
 }
 
+local_answer make_stopping_answer() noexcept
+{
+    return {status_unavailable, "stopping", execution_state::not_run,
+            duration(stopping_retry_after)};
+}
+
 task<void> send_local_answer(request_scope& scope, local_answer answer)
 {
     if (answer.execution == execution_state::not_run && scope.possible_runs > 0)
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -28,7 +28,6 @@
     std::string_view step = "admission"; ///< What the request waits for.
     int status = 0;                      ///< Of the answer; 0 before it.
     std::string_view run_statement;      ///< What a local answer says about the run.
-    duration expected_time{};            ///< Estimated while the process stops.
     std::string server;
     std::uint32_t attempts = 0;
     duration queue_time{};
@@ -52,6 +51,13 @@
     /// \brief Tells whether a model engine serves the request.
     [[nodiscard]] bool is_model_request() const;
 
+    /// \brief Returns an estimate of the time from its server to the whole answer.
+    [[nodiscard]] duration expected_duration() const;
+
+    /// \brief Tells whether the process stops too soon for the request to be sent to a
+    /// server.
+    [[nodiscard]] bool is_stopped(time_point now) const;
+
     /// \brief Tells whether the key is still valid; it may be withdrawn during the
     /// request.
     [[nodiscard]] bool is_key_valid() const;
@@ -76,6 +82,10 @@
     duration retry_after{}; ///< Zero sends no Retry-After.
 };
 
+/// \brief Returns the answer to a request that the process can't serve before it ends.
+/// Its caller may go to another entry at once.
+[[nodiscard]] local_answer make_stopping_answer() noexcept;
+
 /// \brief Sends an answer of the entry, and refunds the tokens if the request did not
 /// run. "Not run" is replaced by "unknown" if a server may have run the request.
 task<void> send_local_answer(request_scope& scope, local_answer answer);
--- a/src/gateway/usage_recorder.cpp
+++ b/src/gateway/usage_recorder.cpp
@@ -64,7 +64,7 @@
     for (;;)
     {
         co_await pause_for(*state.loop, state.settings.usage_flush);
-        if (!state.draining)
+        if (!state.draining())
         {
             co_await write_usage(state, link);
         }
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <sys/socket.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -95,6 +97,11 @@
     this->connection->disconnect_action = std::move(action);
 }
 
+void caller_exchange::interrupt()
+{
+    this->connection->run_disconnect_action();
+}
+
 std::string caller_exchange::render_head(const caller_answer_head& head,
                                          std::string_view framing)
 {
@@ -210,6 +217,17 @@
           [connection]() -> task<void> { co_await connection->serve(); });
 }
 
+bool caller_connection::idle()
+{
+    if (this->busy || !this->input.empty())
+    {
+        return false;
+    }
+    char byte = 0;
+    return this->ended ||
+           ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
 void caller_connection::close()
 {
     io_error ignored; // Fails only if the socket is closed already.
@@ -221,6 +239,11 @@
 {
     this->ended = true;
     this->state_changed.notify();
+    this->run_disconnect_action();
+}
+
+void caller_connection::run_disconnect_action()
+{
     if (this->disconnect_action)
     {
         const auto action = std::move(this->disconnect_action);
--- a/src/transport/caller_connection.hpp
+++ b/src/transport/caller_connection.hpp
@@ -51,10 +51,13 @@
     /// \brief Tells whether the caller has closed the connection.
     [[nodiscard]] bool disconnected() const noexcept;
 
-    /// \brief Sets the action that runs when the caller closes the connection. It
-    /// replaces the action that was set before.
+    /// \brief Sets the action that runs when the caller closes the connection or the
+    /// request is interrupted. It replaces the action that was set before.
     void on_disconnect(std::function<void()> action);
 
+    /// \brief Ends what the request waits for. It can still be answered.
+    void interrupt();
+
     /// \brief Sends a complete answer.
     /// \returns whether it was written to the connection.
     task<bool> answer(caller_answer_head head, std::string body);
@@ -114,8 +117,8 @@
     /// \brief Starts serving the connection, until it is closed.
     static void start(const std::shared_ptr<caller_connection>& connection);
 
-    /// \brief Tells whether no request is being read or answered.
-    [[nodiscard]] bool idle() const noexcept { return !this->busy; }
+    /// \brief Tells whether no request is being read or answered and none has arrived.
+    [[nodiscard]] bool idle();
 
     void close();
 
@@ -138,6 +141,7 @@
     task<void> drain_before_close();
     void start_reading();
     void handle_disconnect();
+    void run_disconnect_action();
 
     event_loop* loop;
     tcp_socket socket;
--- a/src/transport/caller_listener.cpp
+++ b/src/transport/caller_listener.cpp
@@ -58,7 +58,7 @@
         io_error fault;
         tcp_socket socket(*this->loop);
         co_await this->acceptor.async_accept(socket, store_error_in(fault));
-        if (fault == asio::error::operation_aborted)
+        if (fault == asio::error::operation_aborted || !this->acceptor.is_open())
         {
             co_return;
         }
--- a/tests/site/stop_test.py
+++ b/tests/site/stop_test.py
@@ -1,6 +1,7 @@
 """Stops entries in turn under load, whose callers keep their connections until the process is
 gone."""
 
+import asyncio
 import os
 import signal
 import sys
@@ -92,5 +93,50 @@
         site.close()
 
 
+def test_a_stop_loses_no_plain_request_that_turns_slow(build, directory):
+    """Guards against plain requests that a stop accepts because they usually end in time."""
+    delay_s = 0.05
+
+    async def answer_late(replica, request, _reader, writer):
+        await asyncio.sleep(delay_s)
+        return await replica.answer_plain(request, writer)
+
+    site, callers = start_loaded_site(build, directory, [("/once/a", None)], 6)
+    try:
+        for replica in site.replicas_of("plain"):
+            replica.handler = answer_late
+        time.sleep(1)
+        stop = StoppedEntry(site, 0)
+        time.sleep(3)
+        delay_s = 2.6
+        stop.wait()
+        delay_s = 0.05
+        lost = lost_requests(site, stop, callers.stop())
+        check(not lost, len(lost), "lost:", *lost)
+    finally:
+        site.close()
+
+
+def test_a_stop_answers_requests_that_wait_for_a_place(build, directory):
+    """Guards against requests that a stopping entry holds without a place until it is gone."""
+    site, callers = start_loaded_site(build, directory, [("/draft/a", "500,40")], 12)
+    try:
+        time.sleep(1)
+        stop = StoppedEntry(site, 0)
+        for replica in site.replicas_of("model", "decode"):
+            replica.capacity = 0
+        stop.wait()
+        outcomes = callers.stop()
+        unanswered = [outcome for outcome in outcomes
+                      if outcome.entry == stop.number and not outcome.complete
+                      and outcome.ended_at > stop.signalled_at and outcome.status is None
+                      and outcome.ended_at - outcome.sent_at > 0.2]
+        check(not unanswered, *unanswered)
+        refused = [outcome for outcome in outcomes if b"stopping" in outcome.body]
+        check(refused and all(outcome.status == 503 for outcome in refused), len(refused))
+    finally:
+        site.close()
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
