A silent stream is ended only when another server may go on with it

Callers saw: resumable streams cut in their middle while their server was slow but sound.

Cause: a stream without bytes for four times the gap target was closed at once, then another attempt was looked for. After the last attempt that the route allows, or without a repeat in the budget, the caller lost a stream that its server went on with. It is the same class as the stop's: a commitment is broken on an estimate (silence), before anything can take its place. Plain calls had been mended for this; streams had not. Found by a soak of real processes with stops and slow servers, which counts LOST from outside.

Change: the silent server is kept until another healthy server, an attempt and a repeat are in hand; the deadline alone ends the wait.

--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -19,8 +19,10 @@
 
 constexpr int first_error_status = 400;
 /// A resumable stream that brings no bytes for this many times the gap target of its
-/// route is resumed on another server.
+/// route is resumed on another server, as soon as one may take it.
 constexpr int max_gap_target_factor = 4;
+/// A silent stream that no other server may take yet is checked again after this time.
+constexpr auto silence_poll_interval = 50ms;
 /// Maximum attempts to place and start one request. Once the request has been sent, each
 /// further attempt also uses the repeat budget.
 constexpr std::uint32_t max_start_attempts = 3;
@@ -135,7 +137,7 @@
     /// Sends the request to its decode server and relays the answer.
     task<retry_decision> send_decode(decode_place& place, const std::string& kv_source)
     {
-        if (this->requests_sent > 0 &&
+        if (this->requests_sent > 0 && !std::exchange(this->has_reserved_repeat, false) &&
             !this->state->ledger.try_take_repeat(this->scope->service, boot_now()))
         {
             this->place_search.release(place);
@@ -301,21 +303,19 @@
             {
                 co_return stream_end::caller_gone;
             }
-            if (end == io_outcome::timed_out && boot_now() >= this->scope->deadline)
+            if (end == io_outcome::timed_out)
             {
                 co_return stream_end::timed_out;
             }
             if (end != io_outcome::good)
             {
-                // Includes a time-out before the request's deadline: the server was
-                // silent for longer than the route's gap target allows.
                 co_return stream_end::broken;
             }
             if (link.done())
             {
                 break;
             }
-            end = co_await link.read_body(this->read_deadline());
+            end = co_await this->read_events(place, link);
         }
         co_return this->events.is_at_event_boundary() ? stream_end::complete
                                                       : stream_end::broken;
@@ -370,16 +370,63 @@
         }
     }
 
-    /// Returns until when to wait for the next bytes of the stream.
-    [[nodiscard]] time_point read_deadline() const
+    /// Reads the next bytes of the stream.
+    task<io_outcome> read_events(const decode_place& place, upstream_connection& link)
     {
         const service_route& route = *this->scope->route;
-        if (!route.resumable || route.gap_target <= milliseconds(0))
+        const auto is_active = std::make_shared<bool>(true);
+        deadline_timer timer(*this->state->loop);
+        if (route.resumable && route.gap_target > milliseconds(0))
         {
-            return this->scope->deadline;
+            this->arm_silence_timer(timer, place, link.shared_from_this(), is_active,
+                                    route.gap_target * max_gap_target_factor);
         }
-        const duration max_gap = route.gap_target * max_gap_target_factor;
-        return std::min(this->scope->deadline, boot_now() + max_gap);
+        const io_outcome end = co_await link.read_body(this->scope->deadline);
+        *is_active = false;
+        co_return end;
+    }
+
+    /// Ends a silent stream as soon as another server may go on with it. Until then, only
+    /// this server can bring the caller the rest.
+    void arm_silence_timer(deadline_timer& timer, const decode_place& place,
+                           std::shared_ptr<upstream_connection> link,
+                           std::shared_ptr<const bool> is_active, duration after)
+    {
+        timer.arm(after,
+                  [this, &timer, &place, link, is_active]
+                  {
+                      if (!*is_active)
+                      {
+                          return;
+                      }
+                      if (this->may_resume_elsewhere(place))
+                      {
+                          this->has_reserved_repeat = true;
+                          link->close();
+                          return;
+                      }
+                      this->arm_silence_timer(timer, place, link, is_active,
+                                              silence_poll_interval);
+                  });
+    }
+
+    /// Takes a repeat from the budget if it can be used.
+    [[nodiscard]] bool may_resume_elsewhere(const decode_place& place)
+    {
+        const time_point now = boot_now();
+        const auto& servers = this->engines->placement.decode_servers();
+        const bool has_other_server =
+            std::any_of(servers.begin(), servers.end(),
+                        [&](const auto& server)
+                        {
+                            return server->id != place.chosen_server().id &&
+                                   this->state->health.allowed(server->id, now);
+                        });
+        return has_other_server &&
+               this->scope->possible_runs + 1 < this->scope->route->max_attempts &&
+               this->time_remaining() > min_model_attempt_time &&
+               !this->scope->is_stopped(now) &&
+               this->state->ledger.try_take_repeat(this->scope->service, now);
     }
 
     /// Decides how the request goes on after an attempt without a complete answer.
@@ -471,7 +518,8 @@
     prompt_prefiller prefiller;
     sse_event_splitter events;
     std::optional<std::int64_t> last_event_number;
-    std::uint32_t requests_sent = 0; ///< Requests sent to decode servers.
+    std::uint32_t requests_sent = 0;  ///< Requests sent to decode servers.
+    bool has_reserved_repeat = false; ///< Taken before a silent stream was ended.
     std::uint32_t refusals = 0;
     std::optional<time_point> first_event_at;
     time_point last_event_at{};
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -163,6 +163,17 @@
         check(len(ids) == 6, ids)
 
 
+def test_a_silent_stream_is_not_ended_without_another_attempt(build, directory):
+    """Guards against a stream that is cut for its server's silence when no other server may go
+    on with it."""
+    with start_site(build, directory) as site:
+        for replica in site.replicas_of("model", "decode"):
+            replica.event_delay_s = 0.6  # The route's gap target is 100 ms, its time 3 s.
+        response = site.request_stream("/resume/a")
+        check_complete_stream(response)
+        check(sum(len(replica.runs) for replica in site.replicas_of("model", "decode")) <= 2)
+
+
 def test_a_lost_answer_ends_an_unsafe_request_as_unknown(build, directory):
     async def run_and_reset(replica, request, _reader, writer):
         replica.runs.append(request.id)
