A stream that broke is resumed however long it has run, also while its entry stops

Callers saw: a resumable stream that lost its server after three times its target latency, or in a stop, was cut, though other servers had places.

Cause: a resumption looked for a place with the limits of a new request. Its wait counted from the request's arrival (three times the target, a third of the caller's time), so an older stream had no time at all; and a stop refused it by the estimate of a whole stream.

Change: a request that may have run waits until its deadline, and a stop refuses only requests that have not begun.

Before: both new tests of path_test end with a part of 35 events. After: both pass.

--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -109,12 +109,11 @@
             co_return retry_decision::relay;
         }
         if (this->time_remaining() < min_model_attempt_time ||
-            this->scope->is_stopped(boot_now()) || !this->scope->is_key_valid())
+            this->scope->may_not_start(boot_now()) || !this->scope->is_key_valid())
         {
             this->place_search.release(*place);
             this->release_kv_cache(kv_source);
-            co_return this->scope->possible_runs == 0 ? retry_decision::report_not_run
-                                                      : retry_decision::report_timeout;
+            co_return this->report_without_attempt();
         }
         co_return co_await this->send_decode(*place, kv_source);
     }
@@ -425,7 +424,6 @@
         return has_other_server &&
                this->scope->possible_runs + 1 < this->scope->route->max_attempts &&
                this->time_remaining() > min_model_attempt_time &&
-               !this->scope->is_stopped(now) &&
                this->state->ledger.try_take_repeat(this->scope->service, now);
     }
 
@@ -474,7 +472,7 @@
             co_return;
         }
         if (decision == retry_decision::report_not_run &&
-            this->scope->is_stopped(boot_now()))
+            this->scope->may_not_start(boot_now()))
         {
             co_await send_local_answer(*this->scope, make_stopping_answer());
             co_return;
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -57,14 +57,26 @@
     return this->engines->placement.could_hold(this->expected_memory.prompt_tokens);
 }
 
+/// Returns until when the request may wait for a place.
+time_point place_finder::max_wait_end() const
+{
+    if (this->scope->possible_runs > 0)
+    {
+        // Its caller has a part of the answer and can't begin anew elsewhere.
+        return this->scope->deadline;
+    }
+    const time_point arrived = this->scope->exchange->request().arrived;
+    return arrived + std::min<duration>(
+                         (this->scope->deadline - arrived) / max_wait_divisor,
+                         this->scope->route->target_latency * max_wait_target_factor);
+}
+
 /// Waits in the queue until a decode server has capacity and reserves memory there.
 task<std::unique_ptr<decode_place>> place_finder::find()
 {
     const time_point arrived = this->scope->exchange->request().arrived;
     const duration target_latency = this->scope->route->target_latency;
-    const time_point wait_until =
-        arrived + std::min<duration>((this->scope->deadline - arrived) / max_wait_divisor,
-                                     target_latency * max_wait_target_factor);
+    const time_point wait_until = this->max_wait_end();
     const waiting_request waiting{this->scope->priority(), arrived,
                                   arrived + target_latency -
                                       this->engines->latency.expected_first_event_time()};
@@ -76,7 +88,7 @@
         const time_point now = boot_now();
         if (now >= std::min(wait_until, this->scope->deadline) ||
             !this->scope->is_key_valid() || now + this->expected_wait() > wait_until ||
-            this->scope->is_stopped(now + this->expected_wait()))
+            this->scope->may_not_start(now + this->expected_wait()))
         {
             break;
         }
@@ -125,8 +137,9 @@
     this->scope->queue_time = boot_now() - arrived;
     this->engines->capacity_changed.notify();
     this->log_not_reserved(this->scope->exchange->disconnected() ? "caller gone"
-                           : this->scope->is_stopped(boot_now()) ? "stopping"
-                                                                 : "no memory in time");
+                           : this->scope->may_not_start(boot_now())
+                               ? "stopping"
+                               : "no memory in time");
     co_return nullptr;
 }
 
--- a/src/gateway/place_finder.hpp
+++ b/src/gateway/place_finder.hpp
@@ -42,6 +42,7 @@
 
   private:
     [[nodiscard]] std::shared_ptr<const backend_server> choose(time_point now);
+    [[nodiscard]] time_point max_wait_end() const;
     [[nodiscard]] std::int64_t initial_tokens() const;
     task<bool> reserve(decode_place& place);
     void log_reserved(const backend_server& server) const;
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -38,9 +38,9 @@
                                           this->metadata.expected_output.value_or(0))));
 }
 
-bool request_scope::is_stopped(time_point now) const
+bool request_scope::may_not_start(time_point now) const
 {
-    return this->state->stop &&
+    return this->possible_runs == 0 && this->state->stop &&
            !this->state->stop->may_send(now, this->expected_duration());
 }
 
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -54,9 +54,9 @@
     /// \brief Returns an estimate of the time from its server to the whole answer.
     [[nodiscard]] duration expected_duration() const;
 
-    /// \brief Tells whether the process stops too soon for the request to be sent to a
-    /// server.
-    [[nodiscard]] bool is_stopped(time_point now) const;
+    /// \brief Tells whether the process stops too soon for the request to be begun. One
+    /// that may have run goes on until the process ends.
+    [[nodiscard]] bool may_not_start(time_point now) const;
 
     /// \brief Tells whether the key is still valid; it may be withdrawn during the
     /// request.
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import socket
 import sys
 import threading
@@ -9,7 +10,8 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import run  # noqa: E402
-from platform_site import Site, response_bytes, reset_connection, route, wait_for  # noqa: E402
+from platform_site import Site, configuration, response_bytes, reset_connection  # noqa: E402
+from platform_site import route, wait_for  # noqa: E402
 
 
 def start_site(build, directory, **members):
@@ -163,6 +165,38 @@
         check(len(ids) == 6, ids)
 
 
+def check_long_stream_is_resumed(site, entry_stops):
+    async def reset_late(_replica, request, _reader, writer):
+        if not request.target.startswith("/v1/") and not request.header("Last-Event-Id"):
+            asyncio.get_running_loop().call_later(2.0, reset_connection, writer)
+
+    routes = configuration(2)["routes"]
+    for item in routes:
+        item["timeout_ms"] = 14_000
+    site.configure(2, routes=routes)
+    for replica in site.replicas_of("model", "decode"):
+        replica.handler = reset_late
+        replica.event_count, replica.event_delay_s = 35, 0.08
+    wait_for(lambda: all(entry.log_lines("configuration in force")[-1]["version"] == 2
+                         for entry in site.entries), "version 2")
+    if entry_stops:
+        site.entries[0].end(signal.SIGTERM)
+        wait_for(lambda: site.entries[0].log_lines("draining"), "draining to begin")
+    # The stream breaks later than three times its target latency of 500 ms.
+    response = site.request_stream("/resume/a", Agateseam_Request_Deadline="14000")
+    check_complete_stream(response, events=35)
+
+
+def test_a_stream_is_resumed_however_long_it_has_run(build, directory):
+    with start_site(build, directory) as site:
+        check_long_stream_is_resumed(site, entry_stops=False)
+
+
+def test_a_stream_is_resumed_while_its_entry_stops(build, directory):
+    with start_site(build, directory, grace_ms=5500) as site:
+        check_long_stream_is_resumed(site, entry_stops=True)
+
+
 def test_a_silent_stream_is_not_ended_without_another_attempt(build, directory):
     """Guards against a stream that is cut for its server's silence when no other server may go
     on with it."""
