A caller that leaves closes no connection that another request uses

Callers saw: a stream cut in its middle, of one whose own server, entry and connection were sound.

Cause: when a decode server refuses a request, its connection went back to the pool while the request's disconnect action still held it. If that caller left while its request looked for another place, the action closed the connection under the stream that had taken it meanwhile.

Change: the action is removed before the connection is returned, as plain calls and the calls to engines do.

--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -225,6 +225,8 @@
         const auto shared_link = link.shared_from_this();
         const io_outcome end =
             co_await link.read_whole(this->scope->deadline, max_failure_bytes);
+        // Another request may use the connection from now on.
+        this->scope->exchange->on_disconnect(nullptr);
         log_failure(*this->scope, "decode refused", place.chosen_server().id,
                     reply.not_run ? "not_run" : "failed", head.status);
         if (reply.not_run)
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -165,6 +165,50 @@
         check(len(ids) == 6, ids)
 
 
+def test_a_caller_that_leaves_cuts_no_other_stream(build, directory):
+    """Guards against the end of one request that closes a connection which another one uses."""
+    refused_by, is_reserving = [], threading.Event()
+
+    async def refuse_the_first(replica, request, _reader, writer):
+        if request.target == "/v1/hold-take" and refused_by and not is_reserving.is_set():
+            is_reserving.set()
+            await asyncio.sleep(0.3)  # Meanwhile its caller leaves.
+            return None
+        if request.target.startswith("/v1/") or request.header("Agateseam-Stage"):
+            return None
+        if not refused_by:
+            refused_by.append(replica)
+            writer.write(response_bytes(503, {}, replica.identity_headers(request)
+                                        + [("Agateseam-Not-Executed", "1")]))
+            return True
+        return None
+
+    for _ in range(8):
+        refused_by.clear()
+        is_reserving.clear()
+        with start_site(build, directory) as site:
+            for replica in site.replicas_of("model", "decode"):
+                replica.handler = refuse_the_first
+                replica.event_count, replica.event_delay_s = 10, 0.05
+            leaving_caller = socket.create_connection(("127.0.0.1", site.entries[0].callers))
+            headers = site.headers(Agateseam_Model="m", Agateseam_Token_Count="500,40",
+                                   Content_Length="2")
+            head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+            leaving_caller.sendall(f"POST /draft/a HTTP/1.1\r\n{head}\r\n{{}}".encode())
+            check(is_reserving.wait(3), "the refused request to reserve elsewhere")
+            answers = []
+            callers = [threading.Thread(target=lambda: answers.append(site.request_stream()))
+                       for _ in range(8)]
+            for caller in callers:
+                caller.start()
+            time.sleep(0.15)
+            leaving_caller.close()
+            for caller in callers:
+                caller.join()
+            for answer in answers:
+                check_complete_stream(answer, events=10)
+
+
 def check_long_stream_is_resumed(site, entry_stops):
     async def reset_late(_replica, request, _reader, writer):
         if not request.target.startswith("/v1/") and not request.header("Last-Event-Id"):
