A slow plain call is ended only when another server may take the request

Callers saw 502 for a repeatable request whose only server was slow, three tenths of a second after it had been sent with seconds left; a repeat of the budget went with it.

Cause: the budget of repeats was asked before a slow attempt was ended, a server for the next one was not.

Before: the new test of path_test gets 502 at once.

--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -122,9 +122,7 @@
             {
                 break;
             }
-            const bool tried_before = std::find(this->tried.begin(), this->tried.end(),
-                                                server->id) != this->tried.end();
-            if (tried_before || !this->state->health.allowed(server->id, now))
+            if (!this->is_candidate(*server, now))
             {
                 continue;
             }
@@ -145,6 +143,28 @@
         return best;
     }
 
+    /// Tells whether a server besides the current one may take the request now.
+    [[nodiscard]] bool has_other_server() const
+    {
+        const time_point now = boot_now();
+        const auto& servers = this->state->servers_of(this->scope->service);
+        return std::any_of(servers.begin(), servers.end(),
+                           [&](const auto& server)
+                           {
+                               return server->id != this->scope->server &&
+                                      this->is_candidate(*server, now) &&
+                                      this->state->health.refusal_backoff_left(
+                                          server->id, now) <= duration::zero();
+                           });
+    }
+
+    [[nodiscard]] bool is_candidate(const backend_server& server, time_point now) const
+    {
+        return std::find(this->tried.begin(), this->tried.end(), server.id) ==
+                   this->tried.end() &&
+               this->state->health.allowed(server.id, now);
+    }
+
     [[nodiscard]] duration fraction_of_target(double fraction) const
     {
         return std::chrono::duration_cast<duration>(this->scope->route->target_latency *
@@ -167,8 +187,8 @@
                             first_attempt_latency_factor);
     }
 
-    /// Ends a slow attempt as soon as the budget grants a repeat for the next one.
-    /// Without one, only this attempt can bring the caller an answer.
+    /// Ends a slow attempt as soon as another server may take the request and the budget
+    /// grants a repeat. Until then, only this attempt can bring the caller an answer.
     void arm_attempt_timer(deadline_timer& timer,
                            std::shared_ptr<upstream_connection> link,
                            std::shared_ptr<const bool> is_active, duration after)
@@ -180,7 +200,7 @@
                       {
                           return;
                       }
-                      if (this->take_repeat())
+                      if (this->has_other_server() && this->take_repeat())
                       {
                           this->has_reserved_repeat = true;
                           link->close();
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -300,6 +300,22 @@
         check(sum(len(replica.runs) for replica in site.replicas_of("plain")) == 1)
 
 
+def test_a_slow_answer_is_awaited_when_no_other_replica_is_left(build, directory):
+    """Guards against giving up the only server's response because it is slow."""
+    async def answer_slowly(replica, request, _reader, writer):
+        await asyncio.sleep(1)  # The target latency is 500 ms.
+        return await replica.answer_plain(request, writer)
+
+    site = Site(build, directory)
+    replica = site.add_replica("plain")
+    replica.handler = answer_slowly
+    site.configure(1)
+    with site.start():
+        for _ in range(3):
+            response = site.get("/safe/a")
+            check(response.status == 200, response.status, response.body)
+
+
 def test_a_slow_request_is_repeated_on_another_replica(build, directory):
     async def answer_slowly(replica, request, _reader, writer):
         await asyncio.sleep(2)
