A stop's end: nothing new is sent, nothing unfinished looks complete; stricter tests

The deadline is checked again after a connect, for decode and for calls to engines. - An answer without chunks whose caller reads slowly ended with the process, and looked whole. What is open after the last answers is aborted, with a reset where nothing else shows it. - A request is listed as open by a guard, so that an exception leaves no dangling entry. - A connection whose answer is being delivered isn't closed as idle. - The tests: waiting requests now wait until the stop refuses them; plain calls that turn slow may not end as unknown either; requests whose servers are silent must be answered 502 at the stop's end, and are counted in requests_cut.

--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -27,8 +27,13 @@
     {
         link = co_await state.pool.open(address);
     }
-    if (!link || (caller != nullptr && caller->disconnected()))
+    if (!link)
+    {
+        co_return answer;
+    }
+    if ((caller != nullptr && caller->disconnected()) || boot_now() >= deadline)
     {
+        state.pool.return_connection(link);
         co_return answer;
     }
     if (caller != nullptr)
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -346,6 +346,7 @@
         {
             co_await pause_for(this->loop, 5ms);
         }
+        this->pipeline.abort_open_requests();
         this->callers->stop_accepting();
         this->link->stop();
         if (this->state.store_reachable)
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -165,6 +165,13 @@
             co_return this->is_caller_gone() ? retry_decision::relay
                                              : retry_decision::try_another;
         }
+        if (this->time_remaining() < min_model_attempt_time)
+        {
+            this->state->pool.return_connection(link);
+            this->place_search.release(place);
+            this->release_kv_cache(kv_source);
+            co_return this->report_without_attempt();
+        }
         caller_exchange& exchange = *this->scope->exchange;
         exchange.on_disconnect([link] { link->close(); });
         forward_options options;
--- a/src/gateway/request_pipeline.cpp
+++ b/src/gateway/request_pipeline.cpp
@@ -24,6 +24,26 @@
 /// Lines about single requests that a stop writes; their number is in `stopped`.
 constexpr std::size_t max_cut_request_lines = 100;
 
+/// Lists a request as open until it is destroyed.
+class open_request_guard
+{
+  public:
+    open_request_guard(std::unordered_set<request_scope*>& list, request_scope& scope)
+        : open_requests(&list)
+        , request(&scope)
+    {
+        this->open_requests->insert(this->request);
+    }
+
+    ~open_request_guard() { this->open_requests->erase(this->request); }
+    open_request_guard(const open_request_guard&) = delete;
+    open_request_guard& operator=(const open_request_guard&) = delete;
+
+  private:
+    std::unordered_set<request_scope*>* open_requests;
+    request_scope* request;
+};
+
 /// Returns what a request counts against its workspace's allowance.
 double allowance_cost(const workspace_limits& workspace, const request_metadata& metadata)
 {
@@ -44,9 +64,10 @@
     request_scope scope;
     scope.state = this->state;
     scope.exchange = &exchange;
-    this->open_requests.insert(&scope);
-    co_await this->serve(scope);
-    this->open_requests.erase(&scope);
+    {
+        const open_request_guard guard(this->open_requests, scope);
+        co_await this->serve(scope);
+    }
     this->record_end(scope, started_at);
     add_request_usage(scope);
 }
@@ -184,6 +205,14 @@
     }
 }
 
+void request_pipeline::abort_open_requests()
+{
+    for (request_scope* scope : this->open_requests)
+    {
+        scope->exchange->abort();
+    }
+}
+
 std::optional<local_answer> request_pipeline::admit(request_scope& scope)
 {
     if (scope.workspace == nullptr)
--- a/src/gateway/request_pipeline.hpp
+++ b/src/gateway/request_pipeline.hpp
@@ -38,6 +38,10 @@
     /// \returns their number.
     std::size_t interrupt_open_requests();
 
+    /// \brief Closes the connections of all requests in progress, so that no unfinished
+    /// answer looks complete when the process ends.
+    void abort_open_requests();
+
   private:
     task<void> serve(request_scope& scope);
     [[nodiscard]] std::optional<local_answer> authenticate(request_scope& scope) const;
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -434,6 +434,7 @@
     {
         co_return;
     }
+    this->busy = true;
     io_error ignored; // The connection is closed in any case.
     this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
     const time_point deadline = boot_now() + drain_time;
--- a/src/transport/caller_connection.hpp
+++ b/src/transport/caller_connection.hpp
@@ -150,8 +150,8 @@
     wake_signal state_changed; ///< Bytes were read, or the connection ended.
     time_point first_byte_at{};
     bool reading = false;
-    bool ended = false;     ///< The caller closed, or the connection broke.
-    bool busy = false;      ///< A request is being read or answered.
+    bool ended = false; ///< The caller closed, or the connection broke.
+    bool busy = false;  ///< A request is being read or answered, or its answer delivered.
     bool keep_alive = true; ///< Whether another request may follow.
     std::function<void()> disconnect_action;
 };
--- a/tests/site/stop_test.py
+++ b/tests/site/stop_test.py
@@ -63,12 +63,14 @@
     return lost
 
 
-def start_loaded_site(build, directory, kinds, callers, **options):
+def start_loaded_site(build, directory, kinds, callers, timeout_ms=14_000, target_ms=500,
+                      **options):
     site = Site(build, directory, entries=2, grace_ms=GRACE_S * 1000)
     site.add_default_replicas()
     routes = configuration(1)["routes"]
     for route in routes:
-        route["timeout_ms"] = 14_000 if route["route_type"] == "streaming" else 3000
+        route["timeout_ms"] = timeout_ms if route["route_type"] == "streaming" else 3000
+        route["target_latency_ms"] = target_ms
     site.configure(1, routes=routes)
     slow_streams(site, 0.05)
     site.start()
@@ -111,30 +113,65 @@
         delay_s = 2.6
         stop.wait()
         delay_s = 0.05
-        lost = lost_requests(site, stop, callers.stop())
+        outcomes = callers.stop()
+        lost = lost_requests(site, stop, outcomes)
         check(not lost, len(lost), "lost:", *lost)
+        unknown = [outcome for outcome in outcomes if b"answer_lost" in outcome.body]
+        check(not unknown, *unknown)
     finally:
         site.close()
 
 
 def test_a_stop_answers_requests_that_wait_for_a_place(build, directory):
     """Guards against requests that a stopping entry holds without a place until it is gone."""
-    site, callers = start_loaded_site(build, directory, [("/draft/a", "500,40")], 12)
+    site, callers = start_loaded_site(build, directory, [("/draft/a", "500,40")], 2,
+                                      deadline_ms=40_000, timeout_ms=40_000, target_ms=5000)
     try:
         time.sleep(1)
-        stop = StoppedEntry(site, 0)
         for replica in site.replicas_of("model", "decode"):
             replica.capacity = 0
+        time.sleep(0.5)
+        stop = StoppedEntry(site, 0)
         stop.wait()
-        outcomes = callers.stop()
-        unanswered = [outcome for outcome in outcomes
-                      if outcome.entry == stop.number and not outcome.complete
-                      and outcome.ended_at > stop.signalled_at and outcome.status is None
-                      and outcome.ended_at - outcome.sent_at > 0.2]
-        check(not unanswered, *unanswered)
-        refused = [outcome for outcome in outcomes if b"stopping" in outcome.body]
-        check(refused and all(outcome.status == 503 for outcome in refused), len(refused))
+        outcomes = [outcome for outcome in callers.stop() if outcome.entry == stop.number]
+        waiting = [outcome for outcome in outcomes
+                   if outcome.sent_at < stop.signalled_at < outcome.ended_at]
+        check(len(waiting) == 1 and waiting[0].status == 503, *waiting)
+        check(b"stopping" in waiting[0].body, waiting[0].body)
+        check(not lost_requests(site, stop, outcomes))
+    finally:
+        site.close()
+
+
+def test_a_stop_answers_requests_whose_servers_are_silent(build, directory):
+    """Guards against requests that end without any answer when the process does."""
+    silent = []
+
+    async def accept_silently(_replica, request, _reader, _writer):
+        if request.target.startswith("/v1/"):
+            return None
+        silent.append(request.id)
+        await asyncio.sleep(20)
+        return False
+
+    site, callers = start_loaded_site(build, directory, [("/draft/a", "500,40")], 8)
+    try:
+        time.sleep(1)
+        for replica in site.replicas_of("model", "decode"):
+            replica.handler = accept_silently
+        time.sleep(0.5)
+        stop = StoppedEntry(site, 0)
+        code = stop.wait()
+        for replica in site.replicas_of("model", "decode"):
+            replica.handler = None
+        cut = [outcome for outcome in callers.outcomes
+               if outcome.entry == stop.number and outcome.id in silent]
+        check(cut and all(outcome.status == 502 and b"unknown" in outcome.body
+                          for outcome in cut), *cut)
+        check(code == 1, code)
+        check(stop.entry.log_lines("stopped")[0]["requests_cut"] == len(cut))
     finally:
+        callers.stopping = True
         site.close()
 
 
