Soak: real entries stopped, killed, frozen and cut off under load, from a seed

Callers keep their connections until the process is gone; stops come alone, in series and overlapping, beside changes of settings, configuration and servers, and with kills, freezes, a store that is silent, busy or resets, servers that fail, refuse or break off. Checked from outside: LOST with the rule's excuses, REFUSED, TWICE, whole and unmixed answers, DRAIN in runs of planned work, ends of processes, readiness and ended streams afterwards.

--- /dev/null
+++ b/tests/site/soak.py
@@ -0,0 +1,339 @@
+"""Breaks a site of real entry processes under load from a seed, and checks from outside what
+callers and servers saw.
+
+    python3 tests/site/soak.py BUILD [--seed N] [--seeds N] [--seconds S] [--entries N]
+        [--callers N] [--planned]
+
+With --planned only stops, settings and configurations change; otherwise anything breaks.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import run  # noqa: E402, F401  # pylint: disable=unused-import
+from platform_site import Site, configuration, reset_connection, response_bytes  # noqa: E402
+from platform_site import route, wait_for  # noqa: E402
+from site_callers import Callers  # noqa: E402
+
+GRACE_S = 8
+# Planned work counts against an entry only without other trouble for this long before.
+STABLE_WINDOW_S = 3
+# The rule excuses a stream that was sent in the first seconds of a stop and that its server
+# still runs in the last sixth of the grace period.
+EXCUSED_WHEN_SENT_WITHIN_S = 3
+EXCUSED_FROM_S = GRACE_S * 5 / 6
+DRAIN_S = 2.0
+CALLER_DEADLINE_S = 14
+STREAM_EVENTS = 8
+PROMISES = (408, 421, 429, 503)
+KINDS = [("/safe/a", None), ("/once/a", None), ("/draft/a", "500,40"), ("/resume/a", "500,40")]
+
+
+class Soak:
+    """One run: a site, its callers and its troubles."""
+
+    def __init__(self, build, directory, seed, seconds=20, entries=3, callers=16, planned=False):
+        self.random = random.Random(seed)
+        self.seconds, self.planned = seconds, planned
+        self.site = Site(build, directory, entries=entries, grace_ms=GRACE_S * 1000)
+        for _ in range(3):
+            self.site.add_replica("plain")
+        for stage in ("prefill", "prefill", "decode", "decode", "decode"):
+            self.site.add_replica("model", stage=stage)
+        for replica in self.site.replicas_of("model", "decode"):
+            replica.event_count, replica.event_delay_s = STREAM_EVENTS, 0.05
+        self.version = 1
+        self.routes = configuration(1)["routes"]
+        for item in self.routes:
+            item["timeout_ms"] = 14_000 if item["route_type"] == "streaming" else 3000
+        self.site.configure(1, routes=self.routes)
+        self.site.start()
+        self.callers = Callers(self.site, callers, KINDS, seed=seed)
+        self.stops = []  # (entry, time of SIGTERM, time at which it was gone)
+        self.unplanned = []  # (begin, end) of what excuses a lost answer
+        self.leaving = {}  # Time at which the store listed a server as leaving, by its id.
+        self.faults = []
+        self.log = []
+
+    def note(self, text):
+        self.log.append(f"{time.monotonic() - self.began:7.2f} {text}")
+
+    async def trouble(self, duration_s, begin, end):
+        """Runs `begin`, waits, runs `end`, and excuses lost answers around that time."""
+        span = [time.monotonic(), float("inf")]
+        self.unplanned.append(span)
+        begin()
+        await asyncio.sleep(duration_s)
+        end()
+        span[1] = time.monotonic()
+
+    # Planned work
+
+    async def stop_entry(self):
+        number = self.random.randrange(len(self.site.entries))
+        entry = self.site.entries[number]
+        if entry.process.poll() is not None:
+            return
+        self.note(f"stop entry {number}")
+        process, begin = entry.process, time.monotonic()
+        entry.end(signal.SIGTERM)
+        span = [number, begin, float("inf")]
+        self.stops.append(span)
+        while process.poll() is None and time.monotonic() < begin + GRACE_S:
+            await asyncio.sleep(0.02)
+        if process.poll() is None:
+            self.faults.append(f"stop of entry {number} took over {GRACE_S} s")
+            process.kill()
+            process.wait()
+        span[2] = time.monotonic()
+        if process.returncode not in (0, 1, -signal.SIGKILL):
+            self.faults.append(f"entry {number} ended with {process.returncode}")
+        await asyncio.sleep(self.random.uniform(0.1, 1))
+        if entry.process is process:
+            entry.start()
+
+    async def stop_two(self):
+        await asyncio.gather(self.stop_entry(), self.delayed_stop())
+
+    async def delayed_stop(self):
+        await asyncio.sleep(self.random.uniform(0, 2))
+        await self.stop_entry()
+
+    async def change_configuration(self):
+        self.version += 1
+        extra = [route(f"/new{self.version}/", "safe", "plain")]
+        self.site.store.put("config", "main",
+                            configuration(self.version, routes=self.routes + extra))
+
+    async def reload_settings(self):
+        for entry in self.site.entries:
+            values = dict(entry.settings_values)
+            values["fleet"] = dict(values["fleet"], repeat_extra=self.random.randrange(50, 150))
+            with open(entry.settings_path, "w", encoding="utf-8") as file:
+                json.dump(values, file)
+            entry.end(signal.SIGHUP)
+
+    async def leave(self):
+        replica = self.random.choice(self.site.replicas_of("plain"))
+        others = [other for other in self.site.replicas_of("plain")
+                  if other.id not in self.leaving]
+        if replica.id in self.leaving or len(others) < 3:
+            return
+        self.note(f"server {replica.id} leaves")
+        self.site.store.put("servers", replica.id, replica.server_spec("draining"))
+        self.leaving[replica.id] = time.monotonic()
+
+    async def slow_servers(self):
+        replicas = self.site.replicas_of("model", "decode")
+        for replica in replicas:
+            replica.event_delay_s = self.random.uniform(0.2, 0.8)
+        await asyncio.sleep(self.random.uniform(1, 4))
+        for replica in replicas:
+            replica.event_delay_s = 0.05
+
+    # Unplanned trouble
+
+    async def kill_entry(self):
+        number = self.random.randrange(len(self.site.entries))
+        entry = self.site.entries[number]
+        process = entry.process
+        if process.poll() is not None:
+            return
+        self.note(f"kill entry {number}")
+        await self.trouble(self.random.uniform(0.1, 1), entry.end, lambda: None)
+        process.wait()
+        if entry.process is process:
+            entry.start()
+
+    async def freeze_entry(self):
+        entry = self.random.choice(self.site.entries)
+        self.note(f"freeze {entry.name}")
+        await self.trouble(self.random.uniform(0.5, 3), lambda: entry.end(signal.SIGSTOP),
+                           lambda: entry.end(signal.SIGCONT))
+
+    async def lose_store(self):
+        mode = self.random.choice(["silent", "busy", "reset"])
+        self.note(f"store {mode}")
+        store = self.site.store
+        await self.trouble(self.random.uniform(0.5, 4), lambda: setattr(store, "mode", mode),
+                           lambda: setattr(store, "mode", "up"))
+
+    async def compact_store(self):
+        self.site.store.compact()
+
+    async def fail_runs(self):
+        """A server runs each request and answers with a failure or not at all."""
+        replica = self.random.choice(self.site.replicas_of("plain"))
+        status = self.random.choice([408, 429, 500, 503, None])
+        self.note(f"server {replica.id} fails with {status}")
+
+        async def run_and_fail(served, request, _reader, writer):
+            served.runs.append(request.id)
+            if status is None:
+                reset_connection(writer)
+                return False
+            writer.write(response_bytes(status, {}, served.identity_headers(request)))
+            return True
+        await self.trouble(self.random.uniform(0.5, 2),
+                           lambda: setattr(replica, "handler", run_and_fail),
+                           lambda: setattr(replica, "handler", None))
+
+    async def refuse_runs(self):
+        replica = self.random.choice(self.site.replicas_of("plain"))
+
+        async def refuse(served, request, _reader, writer):
+            writer.write(served.refusal())
+            return True
+        await self.trouble(self.random.uniform(0.5, 2),
+                           lambda: setattr(replica, "handler", refuse),
+                           lambda: setattr(replica, "handler", None))
+
+    async def break_streams(self):
+        replica = self.random.choice(self.site.replicas_of("model", "decode"))
+        self.note(f"server {replica.id} breaks streams")
+
+        async def break_off(served, request, _reader, writer):
+            if request.target.startswith("/v1/"):
+                return None
+            served.runs.append(request.id)
+            reset_connection(writer)
+            return False
+        await self.trouble(self.random.uniform(0.3, 1),
+                           lambda: setattr(replica, "handler", break_off),
+                           lambda: setattr(replica, "handler", None))
+
+    async def cause_troubles(self):
+        planned = [self.stop_entry, self.stop_entry, self.stop_two, self.change_configuration,
+                   self.reload_settings, self.leave, self.slow_servers]
+        unplanned = [self.kill_entry, self.freeze_entry, self.lose_store, self.compact_store,
+                     self.fail_runs, self.refuse_runs, self.break_streams]
+        kinds = planned if self.planned else planned + unplanned
+        running = []
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            running.append(asyncio.ensure_future(self.random.choice(kinds)()))
+            await asyncio.sleep(self.random.uniform(0.1, 2.5))
+        await asyncio.gather(*running)
+
+    # Checks
+
+    def is_excused(self, outcome):
+        begin = outcome.sent_at - STABLE_WINDOW_S
+        return any(begin < end and outcome.ended_at > start for start, end in self.unplanned)
+
+    def check_lost(self, outcome, received):
+        if outcome.complete or outcome.id not in received or self.is_excused(outcome):
+            return
+        if outcome.ended_at - outcome.sent_at >= CALLER_DEADLINE_S:
+            return
+        for number, begin, _ in self.stops:
+            sent_s, ended_s = outcome.sent_at - begin, outcome.ended_at - begin
+            is_excused = (sent_s <= EXCUSED_WHEN_SENT_WITHIN_S and ended_s >= EXCUSED_FROM_S)
+            if number == outcome.entry and 0 <= ended_s <= GRACE_S + 1 and is_excused:
+                return
+        self.faults.append(f"LOST {outcome}")
+
+    def check_body(self, outcome):
+        if outcome.status != 200 or not outcome.complete:
+            return
+        if outcome.path in ("/safe/a", "/once/a"):
+            is_right = outcome.body == f"body of {outcome.id}".encode()
+        else:
+            expected = b"".join(b"id: %d\ndata: %s.%d\n\n" % (number, outcome.id.encode(), number)
+                                for number in range(1, STREAM_EVENTS + 1))
+            is_right = outcome.body == expected
+        if not is_right:
+            self.faults.append(f"MIXED or ORDER {outcome} {outcome.body!r}")
+
+    def check_outcomes(self, outcomes):
+        runs = {}
+        for replica in self.site.replicas:
+            for request_id in replica.runs:
+                runs[request_id] = runs.get(request_id, 0) + 1
+        received = {request.id for replica in self.site.replicas for request in replica.requests}
+        for outcome in outcomes:
+            self.check_lost(outcome, received)
+            self.check_body(outcome)
+            if outcome.status in PROMISES and outcome.id in runs:
+                self.faults.append(f"REFUSED {outcome} {outcome.body!r}")
+            if outcome.path in ("/once/a", "/draft/a") and runs.get(outcome.id, 0) > 1:
+                self.faults.append(f"TWICE {outcome} {runs[outcome.id]} runs")
+
+    def check_leaving(self):
+        for replica in self.site.replicas_of("plain"):
+            listed_at = self.leaving.get(replica.id)
+            if listed_at is None or not self.planned:
+                continue
+            late = [sent for sent, _ in replica.arrivals if sent > listed_at + DRAIN_S]
+            if late:
+                self.faults.append(f"DRAIN {len(late)} requests reached {replica.id}")
+
+    def check_rest(self):
+        try:
+            wait_for(lambda: all(entry.is_ready() for entry in self.site.entries),
+                     "all entries to be ready again", 10)
+            wait_for(lambda: not any(replica.running for replica in self.site.replicas),
+                     "all streams to end", 10)
+        except AssertionError as fault:
+            self.faults.append(str(fault))
+
+    def record_arrivals(self):
+        for replica in self.site.replicas:
+            replica.arrivals = []
+            handle = replica.handle_request
+
+            async def record(request, reader, writer, replica=replica, handle=handle):
+                replica.arrivals.append((time.monotonic(), request.id))
+                return await handle(request, reader, writer)
+            replica.handle_request = record
+
+    def play(self):
+        """Returns the number of requests; `faults` then holds what was wrong."""
+        self.record_arrivals()
+        self.began = time.monotonic()
+        try:
+            self.callers.start()
+            asyncio.run_coroutine_threadsafe(self.cause_troubles(), self.site.loop).result(
+                self.seconds + 60)
+            outcomes = self.callers.stop()
+            self.check_rest()
+            self.check_outcomes(outcomes)
+            self.check_leaving()
+            return len(outcomes)
+        finally:
+            self.site.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("build")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument("--planned", action="store_true")
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        directory = os.path.join(options.build, "site_tests", f"soak-{seed}")
+        soak = Soak(options.build, directory, seed, options.seconds, options.entries,
+                    options.callers, options.planned)
+        requests = soak.play()
+        print(f"seed {seed}: {requests} requests, {len(soak.stops)} stops, "
+              f"{len(soak.faults)} faults", flush=True)
+        if soak.faults:
+            failed += 1
+            print("\n".join(soak.log + soak.faults), flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
