A reply that names no request counts only as the first on its connection

Cause: the filter of replies took one that names no request for the current one's.

Change: such a reply counts as the current one's only if it is the first on its connection. Otherwise the connection is closed and the outcome is unknown ("unidentified" in the log): a call that may run once gets 502, a repeatable one goes on elsewhere. This holds for all replies to plain, prefill and decode requests. Calls that have no id (reservations, releases, reports, other entries) take a reply without one as before; a reservation passed the id of its request though it doesn't send it, and no longer does. The unused count of answered requests is gone.

--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -214,10 +214,14 @@
             spec["stage"] = self.stage
         return spec
 
+    @staticmethod
+    def id_headers(request):
+        return [("Agateseam-Request-Id", request.id)] if request.id else []
+
     def identity_headers(self, request):
-        return [("Agateseam-Request-Id", request.id),
-                ("Agateseam-Response-Signature", f"{self.id}.{request.id}"),
-                ("Keep-Alive", "timeout=10")]
+        return self.id_headers(request) + [
+            ("Agateseam-Response-Signature", f"{self.id}.{request.id}"),
+            ("Keep-Alive", "timeout=10")]
 
     async def handle_request(self, request, reader, writer):
         self.requests.append(request)
@@ -227,7 +231,8 @@
                 return keep_open
         expected = request.header("Agateseam-Expect-Instance")
         if expected and expected != self.id:
-            writer.write(response_bytes(421, {}, [("Agateseam-Instance-Id", self.id)]))
+            writer.write(response_bytes(421, {}, [("Agateseam-Instance-Id", self.id)]
+                                        + self.id_headers(request)))
             return True
         if request.target.startswith("/v1/"):
             writer.write(self.handle_platform_call(request))
@@ -237,7 +242,8 @@
         if request.header("Agateseam-Stage") == "prefill":
             handle = f"{self.id}h{next(self.name_numbers)}"
             self.handles[handle] = request.id
-            writer.write(response_bytes(200, {"kv_handle": handle, "tokens": 1, "version": 1}))
+            writer.write(response_bytes(200, {"kv_handle": handle, "tokens": 1, "version": 1},
+                                        self.id_headers(request)))
             return True
         return await self.answer_stream(request, writer)
 
@@ -245,7 +251,7 @@
         if request.target == "/v1/hold-take":
             tokens = json.loads(request.body)["tokens"]
             if sum(self.holds.values()) + sum(self.running.values()) + tokens > self.capacity:
-                return self.refusal()
+                return self.refusal(request)
             name = f"hold{next(self.name_numbers)}"
             self.holds[name] = tokens
             return response_bytes(200, {"hold": name})
@@ -254,9 +260,10 @@
         self.handles.pop(name, None)
         return response_bytes(200, {})
 
-    @staticmethod
-    def refusal():
-        return response_bytes(503, {}, [("Agateseam-Not-Executed", "1")])
+    @classmethod
+    def refusal(cls, request):
+        return response_bytes(503, {}, [("Agateseam-Not-Executed", "1")]
+                              + cls.id_headers(request))
 
     async def answer_plain(self, request, writer):
         self.runs.append(request.id)
--- a/src/gateway/backend_dialect.cpp
+++ b/src/gateway/backend_dialect.cpp
@@ -6,13 +6,23 @@
 namespace agateseam
 {
 
-std::function<bool(const message_head&)> make_reply_filter(const backend_dialect& dialect,
-                                                           std::string request_id)
+std::function<response_match(const message_head&)>
+make_reply_filter(const backend_dialect& dialect, const upstream_connection& link,
+                  std::string request_id)
 {
-    return [&dialect, id = std::move(request_id)](const message_head& head)
+    return [&dialect, &link, id = std::move(request_id)](const message_head& head)
     {
         const std::string answered_id = dialect.read_reply(head).request_id;
-        return answered_id.empty() || answered_id == id;
+        if (answered_id == id)
+        {
+            return response_match::current;
+        }
+        if (!answered_id.empty())
+        {
+            return response_match::other;
+        }
+        return link.is_first_response() ? response_match::current
+                                        : response_match::unknown;
     };
 }
 
--- a/src/gateway/backend_dialect.hpp
+++ b/src/gateway/backend_dialect.hpp
@@ -13,6 +13,7 @@
 #include <agateseam/backend_directory.hpp>
 #include <transport/caller_connection.hpp>
 #include <transport/message_parser.hpp>
+#include <transport/upstream_connection.hpp>
 
 namespace agateseam
 {
@@ -111,11 +112,15 @@
     [[nodiscard]] virtual std::string_view readiness_path() const noexcept = 0;
 };
 
-/// \brief Returns a predicate for heads of replies. It rejects a reply that names another
-/// request, since that is a late or extra one, and accepts a reply that names none.
-/// \param dialect must outlive the predicate.
-[[nodiscard]] std::function<bool(const message_head&)>
-make_reply_filter(const backend_dialect& dialect, std::string request_id);
+/// \brief Returns a function that tells which request a reply belongs to.
+///
+/// The request that a reply names decides. A reply that names none may be a late or extra
+/// one of an earlier request, unless it is the first on its connection.
+/// \param request_id empty for a call that has none; it accepts a reply that names none.
+/// \param dialect, link must outlive the function.
+[[nodiscard]] std::function<response_match(const message_head&)>
+make_reply_filter(const backend_dialect& dialect, const upstream_connection& link,
+                  std::string request_id);
 
 /// \brief Tells whether a header field concerns only one connection (hop-by-hop).
 /// \param connection value of the message's Connection field.
--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -37,7 +37,7 @@
     }
     link->send(std::move(head), std::move(body));
     answer.end = co_await link->read_head(
-        deadline, make_reply_filter(*state.dialect, std::move(request_id)));
+        deadline, make_reply_filter(*state.dialect, *link, std::move(request_id)));
     if (answer.end == io_outcome::good)
     {
         answer.end = co_await link->read_whole(deadline, max_answer_size);
--- a/src/gateway/engine_calls.hpp
+++ b/src/gateway/engine_calls.hpp
@@ -15,8 +15,9 @@
 };
 
 /// \brief Sends a call over a pooled or new connection and reads the whole answer.
-/// \param request_id the request that an answer may name; answers that name another are
-/// skipped. \param caller the call ends when this caller disconnects; may be null.
+/// \param request_id the request that the answer must name, or empty for a call without
+/// one (see `make_reply_filter`).
+/// \param caller the call ends when this caller disconnects; may be null.
 task<engine_call_result> call_engine(entry_state& state, const std::string& address,
                                      std::string head,
                                      std::shared_ptr<const std::string> body,
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -189,7 +189,8 @@
         const time_point started_at = boot_now();
         this->scope->step = "first event";
         const io_outcome end = co_await link.read_head(
-            this->scope->deadline, make_reply_filter(dialect, this->scope->metadata.id));
+            this->scope->deadline,
+            make_reply_filter(dialect, link, this->scope->metadata.id));
         if (this->is_caller_gone())
         {
             link.close();
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -191,11 +191,11 @@
     }
     const auto lifetime = std::min<milliseconds>(this->properties.max_reservation_time,
                                                  max_reservation_lifetime);
-    const engine_call_result answer = co_await call_engine(
-        *this->state, place.chosen_server().address,
-        this->state->dialect->write_reservation_request(place.chosen_server(),
-                                                        this->initial_tokens(), lifetime),
-        nullptr, this->scope->metadata.id, boot_now() + reserve_timeout, nullptr);
+    const engine_call_result answer =
+        co_await call_engine(*this->state, place.chosen_server().address,
+                             this->state->dialect->write_reservation_request(
+                                 place.chosen_server(), this->initial_tokens(), lifetime),
+                             nullptr, "", boot_now() + reserve_timeout, nullptr);
     const bool no_reply = answer.end != io_outcome::good;
     if (no_reply)
     {
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -290,7 +290,7 @@
     {
         const io_outcome end = co_await link.read_head(
             this->scope->deadline,
-            make_reply_filter(*this->state->dialect, this->scope->metadata.id));
+            make_reply_filter(*this->state->dialect, link, this->scope->metadata.id));
         if (end != io_outcome::good)
         {
             co_return end;
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -70,9 +70,11 @@
     case io_outcome::broken:
         return "broken";
     case io_outcome::garbled:
+        return "garbled";
+    case io_outcome::unidentified:
         break;
     }
-    return "garbled";
+    return "unidentified";
 }
 
 upstream_connection::upstream_connection(event_loop& io_loop, std::string peer_address)
@@ -182,9 +184,8 @@
     co_return io_outcome::good;
 }
 
-task<io_outcome>
-upstream_connection::read_head(time_point deadline,
-                               const std::function<bool(const message_head&)>& is_ours)
+task<io_outcome> upstream_connection::read_head(
+    time_point deadline, const std::function<response_match(const message_head&)>& match)
 {
     for (;;)
     {
@@ -214,9 +215,16 @@
         {
             continue;
         }
-        if (is_ours(this->parser->head))
+        ++this->responses_read;
+        switch (match(this->parser->head))
         {
+        case response_match::current:
             co_return io_outcome::good;
+        case response_match::unknown:
+            this->close();
+            co_return io_outcome::unidentified;
+        case response_match::other:
+            break;
         }
         while (!this->parser->is_done())
         {
@@ -356,7 +364,6 @@
                                    : duration(std::chrono::seconds(stated_seconds)) -
                                          this->options.idle_timeout_margin;
     connection->idle_since = boot_now();
-    connection->mark_answered();
     auto& connections = this->idle[connection->address()];
     connections.push_back(connection);
     if (connections.size() > this->options.max_idle_per_address)
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -18,10 +18,19 @@
 enum class io_outcome : std::uint8_t
 {
     good,
-    not_sent,  ///< No connection was made, or none accepted a byte.
-    timed_out, ///< No bytes came by the deadline.
-    broken,    ///< The connection was reset or closed before the message's end.
-    garbled    ///< The bytes are not a valid message, or the body is too large.
+    not_sent,    ///< No connection was made, or none accepted a byte.
+    timed_out,   ///< No bytes came by the deadline.
+    broken,      ///< The connection was reset or closed before the message's end.
+    garbled,     ///< The bytes are not a valid message, or the body is too large.
+    unidentified ///< A response came that may belong to another request.
+};
+
+/// Which request a response belongs to, as far as its head tells.
+enum class response_match : std::uint8_t
+{
+    current,
+    other,  ///< A late or extra response to another request.
+    unknown ///< May be either of them.
 };
 
 /// \brief Returns the name of an outcome for logs.
@@ -42,10 +51,12 @@
     /// \brief Reads the head of the response to the current request.
     ///
     /// Responses to other requests are skipped: a server may send one late, on the
-    /// connection where the current response is expected.
-    /// \param is_ours tells by the head whether a response is the expected one.
-    task<io_outcome> read_head(time_point deadline,
-                               const std::function<bool(const message_head&)>& is_ours);
+    /// connection where the current response is expected. One that can't be told from
+    /// these closes the connection.
+    /// \param match tells by the head which request a response belongs to.
+    task<io_outcome>
+    read_head(time_point deadline,
+              const std::function<response_match(const message_head&)>& match);
 
     /// \brief Reads more of the body. `take_body` returns it, `done` tells whether it is
     /// complete.
@@ -68,12 +79,12 @@
     void close();
 
     [[nodiscard]] const std::string& address() const noexcept { return this->peer; }
-    /// \brief Tells whether an earlier request was answered on this connection.
-    [[nodiscard]] bool used_before() const noexcept
+    /// \brief Tells whether the response that is read is the first on this connection, so
+    /// that it can't belong to an earlier request.
+    [[nodiscard]] bool is_first_response() const noexcept
     {
-        return this->answered_requests > 0;
+        return this->responses_read == 1;
     }
-    void mark_answered() noexcept { ++this->answered_requests; }
 
     time_point idle_since{};
     duration idle_timeout{}; ///< As the server stated, or the default.
@@ -86,7 +97,7 @@
     tcp_socket socket;
     std::string input;
     std::unique_ptr<response_parser> parser;
-    std::uint32_t answered_requests = 0;
+    std::uint64_t responses_read = 0; ///< Without interim ones.
     bool writing = false;
     bool closed = false;
     bool timed_out = false;
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -181,7 +181,7 @@
 
 def test_a_refused_request_goes_to_another_replica(build, directory):
     async def refuse(replica, request, _reader, writer):
-        writer.write(replica.refusal())
+        writer.write(replica.refusal(request))
         return True
     with start_site(build, directory) as site:
         first, second = site.replicas_of("plain")
@@ -346,7 +346,7 @@
 async def refuse_reservations(replica, request, reader, writer):
     if request.target != "/v1/hold-take":
         return None
-    writer.write(replica.refusal())
+    writer.write(replica.refusal(request))
     return True
 
 
--- a/tests/site/promise_test.py
+++ b/tests/site/promise_test.py
@@ -10,6 +10,33 @@
 
 # Callers take these statuses to mean that the request has not run and never will.
 PROMISES = (408, 421, 429, 503)
+REFUSAL = response_bytes(503, {}, [("Agateseam-Not-Executed", "1")])
+
+
+class ReusedConnections:
+    """Tells which of the requests that replicas receive aren't the first on their connection."""
+
+    def __init__(self):
+        self.writers, self.count = [], 0
+
+    def is_reused(self, writer):
+        if writer in self.writers:
+            self.count += 1
+            return True
+        self.writers.append(writer)
+        return False
+
+
+def check_promises(site, answered):
+    """Checks that no request ran twice, and that none ran whose caller was told that it hadn't.
+
+    `answered` has the response to each request by its id.
+    """
+    runs = [run_id for replica in site.replicas for run_id in replica.runs]
+    check(len(runs) == len(set(runs)), runs)
+    broken = {run_id: answered[run_id].status for run_id in runs
+              if answered[run_id].status in PROMISES}
+    check(not broken, broken)
 
 
 def test_a_servers_failure_after_a_run_is_relayed_as_no_promise(build, directory):
@@ -53,5 +80,74 @@
         check(b"unknown" in response.body, response.body)
 
 
+def test_an_extra_refusal_that_names_no_request_isnt_the_next_ones(build, directory):
+    """Guards against the extra refusal of an earlier call that passes for one of a call that
+    then runs."""
+    connections = ReusedConnections()
+
+    async def refuse_and_run(_replica, _request, _reader, writer):
+        if connections.is_reused(writer):
+            writer.write(REFUSAL)
+
+    with start_site(build, directory) as site:
+        for replica in site.replicas_of("plain"):
+            replica.handler = refuse_and_run
+        answered = {f"once-{number}": site.post("/once/a", Agateseam_Request_Id=f"once-{number}")
+                    for number in range(6)}
+        check(connections.count > 0)
+        check_promises(site, answered)
+
+
+def test_an_extra_refusal_that_names_no_request_isnt_a_streams(build, directory):
+    """Guards against the extra refusal of a reservation that passes for one of a stream that
+    then runs."""
+    extra_refusals = []
+
+    async def refuse_and_run(_replica, request, _reader, writer):
+        if not request.target.startswith("/v1/"):
+            extra_refusals.append(request.id)
+            writer.write(REFUSAL)
+
+    with start_site(build, directory) as site:
+        for replica in site.replicas_of("model", "decode"):
+            replica.handler = refuse_and_run
+        answered = {f"draft-{number}": site.request_stream(
+                        Agateseam_Request_Id=f"draft-{number}") for number in range(3)}
+        check(extra_refusals)
+        check_promises(site, answered)
+
+
+def test_a_refusal_that_names_no_request_counts_on_a_new_connection_only(build, directory):
+    """Guards against losing the promise of a server that names no request when it refuses one."""
+    async def refuse(_replica, _request, _reader, writer):
+        writer.write(REFUSAL)
+        return True
+
+    with start_site(build, directory) as site:
+        for replica in site.replicas_of("plain"):
+            replica.handler = refuse
+        first, second = site.post("/once/a"), site.post("/once/a")
+        check(first.status == 503 and b"not_run" in first.body, first.status, first.body)
+        check(second.status == 502 and b"unknown" in second.body, second.status, second.body)
+
+
+def test_a_refusal_that_names_no_request_sends_a_safe_request_elsewhere(build, directory):
+    """Guards against a repeatable request that ends with a refusal which may not be its own."""
+    connections = ReusedConnections()
+
+    async def refuse_on_reuse(_replica, _request, _reader, writer):
+        if not connections.is_reused(writer):
+            return None
+        writer.write(REFUSAL)
+        return True
+
+    with start_site(build, directory) as site:
+        site.replicas_of("plain")[0].handler = refuse_on_reuse
+        statuses = []
+        while connections.count == 0 and len(statuses) < 40:
+            statuses.append(site.get("/safe/a").status)
+        check(connections.count > 0 and set(statuses) == {200}, statuses)
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
