A stream that was refused isn't sent again on the same connection

A stream that a decode server had refused was told "not run", or ran twice, though it ran at its second attempt at that server.

Cause: after a refusal the connection went back to the pool, and the next attempt, which carries the same request id and may go to the same server, took it from there. A late extra copy of the refusal names the request, so it passed for the second attempt's answer.

Change: the connection of a refused stream is closed. plain_call doesn't try a server again for the same request and keeps its connections.

Before: test_an_extra_copy_of_a_refusal_isnt_the_next_attempts fails, 3 of 3 runs (one or two of 3 streams ran twice). After: 3 of 3 runs pass; promise_test 7 of 7, path_test 20 of 20.

--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -229,7 +229,9 @@
                     reply.not_run ? "not_run" : "failed", head.status);
         if (reply.not_run)
         {
-            this->state->pool.return_connection(shared_link);
+            // The request may be sent to this server again. An extra copy of this refusal
+            // would pass for the answer on the same connection.
+            link.close();
             record_observation(*this->state, place.chosen_server().id,
                                server_observation::refused, 0ms);
             ++this->refusals;
--- a/tests/site/promise_test.py
+++ b/tests/site/promise_test.py
@@ -149,5 +149,27 @@
         check(connections.count > 0 and set(statuses) == {200}, statuses)
 
 
+def test_an_extra_copy_of_a_refusal_isnt_the_next_attempts(build, directory):
+    """Guards against a stream that is sent again on the connection of its refusal, where a copy
+    of the refusal passes for the answer to the attempt that then runs."""
+    refused_on = {}
+
+    async def refuse_then_run(replica, request, _reader, writer):
+        if request.target.startswith("/v1/"):
+            return None
+        is_first = request.id not in refused_on
+        if is_first or refused_on[request.id] is writer:
+            writer.write(replica.refusal(request))
+        refused_on.setdefault(request.id, writer)
+        return True if is_first else None
+
+    with start_site(build, directory) as site:
+        for replica in site.replicas_of("model", "decode"):
+            replica.handler = refuse_then_run
+        answered = {f"copy-{number}": site.request_stream(
+                        Agateseam_Request_Id=f"copy-{number}") for number in range(3)}
+        check_promises(site, answered)
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
