A HEAD request is answered without waiting for a body

Every HEAD request to a server that states the length was answered 504 at its deadline, also when the server had refused it (3.0 s of a 3 s route, both). That is no false promise, but no answer either, and the server's connection was lost.

Cause: the reader of responses took the length of an answer to HEAD for a body to come. The answer to the caller would also have stated the length 0.

Change: the response to HEAD ends with its head, and the server's length is relayed.

Before: test_a_head_request_is_answered_without_a_body fails (504).

--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -155,7 +155,13 @@
         co_return;
     }
     scope.status = head.status;
-    co_await scope.exchange->answer(make_relayed_head(head), std::move(body));
+    caller_answer_head relayed = make_relayed_head(head);
+    const std::string_view length = head.field("Content-Length");
+    if (scope.exchange->request().head.method == "HEAD" && !length.empty())
+    {
+        relayed.fields.push_back({"Content-Length", std::string(length)});
+    }
+    co_await scope.exchange->answer(std::move(relayed), std::move(body));
 }
 
 } // namespace agateseam
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -135,8 +135,10 @@
 task<bool> caller_exchange::answer(caller_answer_head head, std::string body)
 {
     this->response_started = true;
+    const bool states_length = !find_header(head.fields, "Content-Length").empty();
     std::string text = this->render_head(
-        head, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+        head,
+        states_length ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
     if (this->received_request.head.method != "HEAD")
     {
         text += body;
--- a/src/transport/caller_connection.hpp
+++ b/src/transport/caller_connection.hpp
@@ -59,6 +59,7 @@
     void interrupt();
 
     /// \brief Sends a complete answer.
+    /// \param head may state the body's length, for an answer to HEAD.
     /// \returns whether it was written to the connection.
     task<bool> answer(caller_answer_head head, std::string body);
 
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -113,6 +113,7 @@
     this->parser.reset();
     this->timed_out = false;
     this->writing = true;
+    this->is_head_request = head.starts_with("HEAD ");
     const auto sent_head = std::make_shared<std::string>(std::move(head));
     const std::array<asio::const_buffer, 2> parts{
         asio::buffer(*sent_head), body ? asio::buffer(*body) : asio::const_buffer{}};
@@ -191,6 +192,7 @@
     {
         this->parser = std::make_unique<response_parser>();
         this->parser->eager(true);
+        this->parser->skip(this->is_head_request); // no body follows
         // The callers of read_body and read_whole limit the size.
         this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         while (!this->parser->is_header_done())
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -98,6 +98,7 @@
     std::string input;
     std::unique_ptr<response_parser> parser;
     std::uint64_t responses_read = 0; ///< Without interim ones.
+    bool is_head_request = false;     ///< Method HEAD: the response has no body.
     bool writing = false;
     bool closed = false;
     bool timed_out = false;
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -9,7 +9,8 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import run  # noqa: E402
-from platform_site import Site, response_bytes, reset_connection, route, wait_for  # noqa: E402
+from platform_site import (  # noqa: E402
+    Site, reset_connection, response_bytes, route, send_request, wait_for)
 
 
 def start_site(build, directory, **members):
@@ -311,6 +312,23 @@
         check(response.status == 502, response.status, response.body)
 
 
+def test_a_head_request_is_answered_without_a_body(build, directory):
+    """Guards against waiting for the body of an answer to HEAD, which declares only its length."""
+    async def answer_head(replica, request, _reader, writer):
+        lines = "".join(f"{name}: {value}\r\n"
+                        for name, value in replica.identity_headers(request))
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n{lines}\r\n".encode())
+        return True
+    with start_site(build, directory) as site:
+        for replica in site.replicas_of("plain"):
+            replica.handler = answer_head
+        for _ in range(4):
+            response = send_request(site.entries[0].callers, "HEAD", "/once/a", site.headers())
+            check(response.status == 200 and response.headers["Content-Length"] == "5",
+                  response.status, response.headers)
+        check(sum(replica.connection_count for replica in site.replicas_of("plain")) <= 2)
+
+
 def test_a_caller_that_disconnects_cancels_its_request(build, directory):
     with start_site(build, directory) as site:
         for replica in site.replicas_of("model", "decode"):
