A body that pauses after its first part has the body's time

A request whose header and first part of the body arrived together was answered 408 after header_timeout_ms (700 ms in the test), though a body may take four times as long (2.8 s). No false promise: such a request was never sent on.

Cause: the time was set before the bytes were parsed, thus for a header, and only further bytes set it anew.

Change: it is set after the bytes are parsed.

Before: test_a_pause_in_a_body_is_within_the_bodys_time fails. A body that never continues gets 408 after 2.8 s (0.7 s before), and its request reaches no server.

--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -361,9 +361,6 @@
         if (!this->input.empty())
         {
             this->busy = true;
-            deadline = this->first_byte_at +
-                       limits.header_timeout *
-                           (parser.is_header_done() ? body_timeout_factor : 1);
             if (!parse_some(parser, this->input, fault))
             {
                 const int status =
@@ -376,6 +373,9 @@
             {
                 break;
             }
+            deadline = this->first_byte_at +
+                       limits.header_timeout *
+                           (parser.is_header_done() ? body_timeout_factor : 1);
         }
         if (parser.is_header_done() && !continue_sent &&
             list_contains_token(parser.head.field("Expect"), "100-continue"))
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -329,6 +329,19 @@
         check(sum(replica.connection_count for replica in site.replicas_of("plain")) <= 2)
 
 
+def test_a_pause_in_a_body_is_within_the_bodys_time(build, directory):
+    """Guards against a body that is held to the header's time, 700 ms here, when its first part
+    arrives together with the header."""
+    with start_site(build, directory) as site:
+        connection = socket.create_connection(("127.0.0.1", site.entries[0].callers))
+        connection.settimeout(5)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in site.headers().items())
+        connection.sendall(f"POST /once/a HTTP/1.1\r\n{lines}Content-Length: 4\r\n\r\nab".encode())
+        time.sleep(1)
+        connection.sendall(b"cd")
+        check(connection.recv(4096).startswith(b"HTTP/1.1 200"))
+
+
 def test_a_caller_that_disconnects_cancels_its_request(build, directory):
     with start_site(build, directory) as site:
         for replica in site.replicas_of("model", "decode"):
