--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -197,7 +197,8 @@
         const time_point started_at = boot_now();
         this->scope->step = "first event";
         const io_outcome end = co_await link.read_head(
-            this->scope->deadline, make_reply_filter(dialect, this->scope->metadata.id));
+            this->scope->deadline,
+            make_reply_filter(dialect, link, this->scope->metadata.id));
         if (this->is_caller_gone())
         {
             link.close();
@@ -238,7 +239,9 @@
                     reply.not_run ? "not_run" : "failed", head.status);
         if (reply.not_run)
         {
-            this->state->pool.return_connection(shared_link);
+            // The request may be sent to this server again. An extra copy of this refusal
+            // would pass for the answer on the same connection.
+            link.close();
             record_observation(*this->state, place.chosen_server().id,
                                server_observation::refused, 0ms);
             ++this->refusals;
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -135,8 +135,10 @@
 task<bool> caller_exchange::answer(caller_answer_head head, std::string body)
 {
     this->response_started = true;
+    const bool states_length = !find_header(head.fields, "Content-Length").empty();
     std::string text = this->render_head(
-        head, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+        head,
+        states_length ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
     if (this->received_request.head.method != "HEAD")
     {
         text += body;
@@ -359,9 +361,6 @@
         if (!this->input.empty())
         {
             this->busy = true;
-            deadline = this->first_byte_at +
-                       limits.header_timeout *
-                           (parser.is_header_done() ? body_timeout_factor : 1);
             if (!parse_some(parser, this->input, fault))
             {
                 const int status =
@@ -374,6 +373,9 @@
             {
                 break;
             }
+            deadline = this->first_byte_at +
+                       limits.header_timeout *
+                           (parser.is_header_done() ? body_timeout_factor : 1);
         }
         if (parser.is_header_done() && !continue_sent &&
             list_contains_token(parser.head.field("Expect"), "100-continue"))
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -70,9 +70,11 @@
     case io_outcome::broken:
         return "broken";
     case io_outcome::garbled:
+        return "garbled";
+    case io_outcome::unidentified:
         break;
     }
-    return "garbled";
+    return "unidentified";
 }
 
 upstream_connection::upstream_connection(event_loop& io_loop, std::string peer_address)
@@ -111,6 +113,7 @@
     this->parser.reset();
     this->timed_out = false;
     this->writing = true;
+    this->is_head_request = head.starts_with("HEAD ");
     const auto sent_head = std::make_shared<std::string>(std::move(head));
     const std::array<asio::const_buffer, 2> parts{
         asio::buffer(*sent_head), body ? asio::buffer(*body) : asio::const_buffer{}};
@@ -182,14 +185,14 @@
     co_return io_outcome::good;
 }
 
-task<io_outcome>
-upstream_connection::read_head(time_point deadline,
-                               const std::function<bool(const message_head&)>& is_ours)
+task<io_outcome> upstream_connection::read_head(
+    time_point deadline, const std::function<response_match(const message_head&)>& match)
 {
     for (;;)
     {
         this->parser = std::make_unique<response_parser>();
         this->parser->eager(true);
+        this->parser->skip(this->is_head_request); // no body follows
         // The callers of read_body and read_whole limit the size.
         this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         while (!this->parser->is_header_done())
@@ -214,9 +217,16 @@
         {
             continue;
         }
-        if (is_ours(this->parser->head))
+        ++this->responses_read;
+        switch (match(this->parser->head))
         {
+        case response_match::current:
             co_return io_outcome::good;
+        case response_match::unknown:
+            this->close();
+            co_return io_outcome::unidentified;
+        case response_match::other:
+            break;
         }
         while (!this->parser->is_done())
         {
@@ -356,7 +366,6 @@
                                    : duration(std::chrono::seconds(stated_seconds)) -
                                          this->options.idle_timeout_margin;
     connection->idle_since = boot_now();
-    connection->mark_answered();
     auto& connections = this->idle[connection->address()];
     connections.push_back(connection);
     if (connections.size() > this->options.max_idle_per_address)
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -10,8 +10,8 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import run  # noqa: E402
-from platform_site import Site, configuration, response_bytes, reset_connection  # noqa: E402
-from platform_site import route, wait_for  # noqa: E402
+from platform_site import (  # noqa: E402
+    Site, configuration, reset_connection, response_bytes, route, send_request, wait_for)
 
 
 def start_site(build, directory, **members):
@@ -270,7 +270,7 @@
 
 def test_a_refused_request_goes_to_another_replica(build, directory):
     async def refuse(replica, request, _reader, writer):
-        writer.write(replica.refusal())
+        writer.write(replica.refusal(request))
         return True
     with start_site(build, directory) as site:
         first, second = site.replicas_of("plain")
@@ -416,6 +416,36 @@
         check(response.status == 502, response.status, response.body)
 
 
+def test_a_head_request_is_answered_without_a_body(build, directory):
+    """Guards against waiting for the body of an answer to HEAD, which declares only its length."""
+    async def answer_head(replica, request, _reader, writer):
+        lines = "".join(f"{name}: {value}\r\n"
+                        for name, value in replica.identity_headers(request))
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n{lines}\r\n".encode())
+        return True
+    with start_site(build, directory) as site:
+        for replica in site.replicas_of("plain"):
+            replica.handler = answer_head
+        for _ in range(4):
+            response = send_request(site.entries[0].callers, "HEAD", "/once/a", site.headers())
+            check(response.status == 200 and response.headers["Content-Length"] == "5",
+                  response.status, response.headers)
+        check(sum(replica.connection_count for replica in site.replicas_of("plain")) <= 2)
+
+
+def test_a_pause_in_a_body_is_within_the_bodys_time(build, directory):
+    """Guards against a body that is held to the header's time, 700 ms here, when its first part
+    arrives together with the header."""
+    with start_site(build, directory) as site:
+        connection = socket.create_connection(("127.0.0.1", site.entries[0].callers))
+        connection.settimeout(5)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in site.headers().items())
+        connection.sendall(f"POST /once/a HTTP/1.1\r\n{lines}Content-Length: 4\r\n\r\nab".encode())
+        time.sleep(1)
+        connection.sendall(b"cd")
+        check(connection.recv(4096).startswith(b"HTTP/1.1 200"))
+
+
 def test_a_caller_that_disconnects_cancels_its_request(build, directory):
     with start_site(build, directory) as site:
         for replica in site.replicas_of("model", "decode"):
@@ -451,7 +481,7 @@
 async def refuse_reservations(replica, request, reader, writer):
     if request.target != "/v1/hold-take":
         return None
-    writer.write(replica.refusal())
+    writer.write(replica.refusal(request))
     return True
 
 
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -189,7 +189,7 @@
         replica = self.random.choice(self.site.replicas_of("plain"))
 
         async def refuse(served, request, _reader, writer):
-            writer.write(served.refusal())
+            writer.write(served.refusal(request))
             return True
         await self.trouble(self.random.uniform(0.5, 2),
                            lambda: setattr(replica, "handler", refuse),
