A call that was sent on a kept connection isn't reported as never sent

Cause: libcurl sends a request again by itself when a kept connection closes before any byte of the answer. If that repeat finds no listener, the transfer ends with "could not connect", which classify_failure took for "certainly not sent", though the peer had read the first sending. The older daemon then says `not_run` of a call to an agent that ran it and was killed.

Change: a failed connect counts as never sent only if no byte of a request went out on any connection of the transfer (CURLINFO_REQUEST_SIZE, which adds up over libcurl's own repeats).

Before: http_test "a call that was sent on a kept connection may have run" fails (unavailable instead of broken).

--- a/src/net/curl_call.cpp
+++ b/src/net/curl_call.cpp
@@ -51,6 +51,15 @@
     return size;
 }
 
+/// Tells whether a part of the request was sent on any connection. libcurl sends a
+/// request again when a kept connection closes before the answer.
+bool was_sent(const curl_call& state)
+{
+    long sent_bytes = 0;
+    curl_easy_getinfo(state.handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
+    return sent_bytes > 0;
+}
+
 void configure_body(curl_call& state)
 {
     const http_call& call = state.call;
@@ -106,12 +115,13 @@
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
     case CURLE_UNSUPPORTED_PROTOCOL:
-        return error_code::unavailable;
+        return was_sent(state) ? error_code::broken : error_code::unavailable;
     case CURLE_OPERATION_TIMEDOUT:
     {
         curl_off_t pretransfer_us = 0;
         curl_easy_getinfo(state.handle, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
-        return pretransfer_us == 0 ? error_code::unavailable : error_code::timeout;
+        return pretransfer_us == 0 && !was_sent(state) ? error_code::unavailable
+                                                       : error_code::timeout;
     }
     default:
         return error_code::broken;
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -15,12 +15,14 @@
 namespace
 {
 
-/// A server that accepts one connection, sends fixed bytes and closes it.
+/// A server that accepts one connection, sends fixed bytes and closes it. It may read a
+/// second request before it closes.
 class fixed_answer_server
 {
   public:
-    explicit fixed_answer_server(std::string bytes)
+    explicit fixed_answer_server(std::string bytes, bool reads_another_request = false)
         : answer(std::move(bytes))
+        , reads_another(reads_another_request)
         , listener(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address{};
@@ -35,11 +37,7 @@
         this->worker = std::thread([this] { this->serve(); });
     }
 
-    ~fixed_answer_server()
-    {
-        this->worker.join();
-        ::close(this->listener);
-    }
+    ~fixed_answer_server() { this->worker.join(); }
     fixed_answer_server(const fixed_answer_server&) = delete;
     fixed_answer_server& operator=(const fixed_answer_server&) = delete;
 
@@ -52,10 +50,16 @@
         std::string request(4'096, ' ');
         (void)::recv(connection, request.data(), request.size(), 0);
         (void)::send(connection, this->answer.data(), this->answer.size(), MSG_NOSIGNAL);
+        if (this->reads_another)
+        {
+            (void)::recv(connection, request.data(), request.size(), 0);
+        }
+        ::close(this->listener);
         ::close(connection);
     }
 
     std::string answer;
+    bool reads_another;
     int listener;
     std::thread worker;
 };
@@ -90,6 +94,24 @@
     CHECK(reply->body == "whole");
 }
 
+// Guards against a call that a server read on a kept connection and that counts as not
+// sent because the client's own repeat finds no listener.
+TEST_CASE("a call that was sent on a kept connection may have run")
+{
+    const fixed_answer_server server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                                     true);
+    const auto client = http_client::create({});
+    REQUIRE(client);
+    http_call call;
+    call.method = "POST";
+    call.url = "http://127.0.0.1:" + std::to_string(server.port) + "/";
+    call.body = "{}";
+    REQUIRE((*client)->fetch(call));
+    const auto second = (*client)->fetch(call);
+    REQUIRE(!second);
+    CHECK(second.error().code == error_code::broken);
+}
+
 TEST_CASE("a call over loopback gets the complete answer")
 {
     auto service = fakes::service_fake::create({});
