A refused second attempt of a service call doesn't hide the run of the first

Cause: service_request passed on an agent's `not_run` as the answer to the whole request. If the last attempt that limits.attempts allows was refused, say for lack of a slot, the caller read 503 `not_run` though an earlier attempt had run. The same request with attempts left was answered `unknown`. Only routes whose calls may be repeated make a second attempt after a possible run, so no call that may run once was concerned.

Change: such a request ends with 502 `unknown`.

--- a/src/daemon/service_request.cpp
+++ b/src/daemon/service_request.cpp
@@ -246,6 +246,12 @@
             this->end_with_error(reply.error(), this->may_have_run ? run_state::unknown
                                                                    : run_state::not_run);
         }
+        else if (not_run && this->may_have_run)
+        {
+            this->end_with_error({error_code::broken, "service", this->attempt_vm,
+                                  "an earlier attempt may have run"},
+                                 run_state::unknown);
+        }
         else
         {
             this->forward_reply(std::move(*reply));
