--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -1,5 +1,6 @@
 #include <transport/upstream_connection.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 
@@ -330,11 +331,13 @@
     return nullptr;
 }
 
-task<std::shared_ptr<upstream_connection>> upstream_pool::open(const std::string& address)
+task<std::shared_ptr<upstream_connection>> upstream_pool::open(const std::string& address,
+                                                               duration max_time)
 {
     auto connection = std::make_shared<upstream_connection>(*this->loop, address);
     ++this->opened_count;
-    if (!co_await connection->connect(this->options.connect_timeout))
+    if (!co_await connection->connect(
+            std::min<duration>(this->options.connect_timeout, max_time)))
     {
         co_return nullptr;
     }
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -117,9 +117,11 @@
     /// \returns null without one.
     [[nodiscard]] std::shared_ptr<upstream_connection> take(const std::string& address);
 
-    /// \brief Opens a new connection.
+    /// \brief Opens a new connection within the connect time-out, and within `max_time`
+    /// if that is shorter.
     /// \returns null when it fails.
-    task<std::shared_ptr<upstream_connection>> open(const std::string& address);
+    task<std::shared_ptr<upstream_connection>> open(const std::string& address,
+                                                    duration max_time = duration::max());
 
     /// \brief Returns a connection to the pool, or closes it if it can't be used again.
     void return_connection(const std::shared_ptr<upstream_connection>& connection);
