The daemon answers calls that are open at the end of its stop

Cause: at the end of limits.drain_ms, or at a second signal, an entry closed the connections of all open requests. A caller without an answer couldn't tell that from a crash. The entry takes every request during limits.linger_ms whatever its time limit, so that calls are open then if they may last longer than what is left.

Change: before its server closes, the entry answers the requests without an answer with 502 `unknown` and waits 100 ms at most until the answers are sent. Streams are cut visibly as before. Agents still close, because an entry repeats a repeatable call elsewhere only after that.

--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -21,6 +21,9 @@
 namespace
 {
 
+/// Time for the answers to the requests that are open at the end of a stop.
+constexpr std::chrono::milliseconds last_answers_time{100};
+
 /// Serves callers and operators.
 class entry final : public daemon_process, public http_handler
 {
@@ -30,9 +33,20 @@
     {
     }
 
-    /// Closes the callers' connections first, so that requests logged as cut are cut.
+    /// Ends the callers' requests first, so that requests logged as cut are cut.
     ~entry() override
     {
+        if (this->server)
+        {
+            this->server->answer_open(
+                [](http_exchange& exchange)
+                {
+                    respond(exchange, to_api_error({error_code::broken, "stop", "",
+                                                    "the entry stopped before the end"},
+                                                   run_state::unknown));
+                },
+                last_answers_time);
+        }
         this->server.reset();
         {
             const std::scoped_lock lock(this->mutex);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -77,6 +77,18 @@
 
     void close_after_answers() override { this->current_state.closing = true; }
 
+    void answer_open(const std::function<void(http_exchange&)>& answer,
+                     std::chrono::milliseconds max_wait) override
+    {
+        for (const auto& exchange : this->exchanges())
+        {
+            answer(*exchange);
+        }
+        std::unique_lock lock(this->mutex);
+        this->exchange_ended.wait_for(lock, max_wait,
+                                      [this] { return this->open.empty(); });
+    }
+
     /// Tracks a new connection. Its first request head must be complete within the
     /// request time-out.
     [[nodiscard]] connection_state* add_connection(int descriptor)
@@ -115,6 +127,7 @@
         tracked->awaits_head = true;
         tracked->head_deadline = steady_clock::now() + this->options.idle_timeout +
                                  this->options.request_timeout;
+        this->exchange_ended.notify_all();
     }
 
     server_state current_state;
@@ -132,6 +145,7 @@
     std::atomic<bool> quiesced{false};
     mutable std::mutex mutex;
     std::condition_variable stop_signal;
+    std::condition_variable exchange_ended;
     bool stop_requested = false;
     std::unordered_set<std::shared_ptr<exchange_impl>> open;
     std::unordered_map<connection_state*, std::unique_ptr<connection_state>> connections;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -124,6 +124,11 @@
 
     /// \brief Accepts no new connections and closes open ones after their next answer.
     virtual void quiesce() = 0;
+
+    /// \brief Calls `answer` for each open request and waits until the answers are sent,
+    /// at most for `max_wait`. A request that has an answer or a stream keeps it.
+    virtual void answer_open(const std::function<void(http_exchange&)>& answer,
+                             std::chrono::milliseconds max_wait) = 0;
 };
 
 /// \brief Decodes the percent escapes and plus signs of a URL.
--- a/tests/process/drain_test.py
+++ b/tests/process/drain_test.py
@@ -1,7 +1,7 @@
 """Stops entries and agents with SIGTERM.
 
 Guards against requests that a planned stop cuts, and against a second signal or a passed drain
-deadline that does not cut the remaining requests, exit with code 1 and log their number.
+deadline that does not end the remaining requests, exit with code 1 and log their number.
 """
 
 import hashlib
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../../scripts/lib"))
@@ -142,10 +143,34 @@
     check_truncated(entry, stream)
 
 
+def test_deadline_answers_a_call(fleet):
+    """A call that is open at the drain deadline is answered, as a run of unknown outcome."""
+    entry, backend = fleet.processes["entry-4"], fleet.backends["service-2"]
+    backend.send_signal(signal.SIGSTOP)
+    answers = []
+
+    def send_call():
+        try:
+            status, headers, _ = call_http("POST", fleet.entry_urls()[3] + "/booking/open", "{}",
+                                           {"Authorization": "Bearer " + fleet.keys["oshana"]})
+            answers.append((status, headers.get("x-agateseam-run")))
+        except OSError as error:
+            answers.append(error)
+
+    caller = threading.Thread(target=send_call)
+    caller.start()
+    wait_for(lambda: fleet.agent_load("service-2")["used"] == 1, "the call at service-2", 5)
+    entry.request_stop()
+    caller.join()
+    backend.send_signal(signal.SIGCONT)
+    check(answers == [(502, "unknown")], f"unexpected answer at the deadline: {answers}")
+    check(entry.child.wait(2) == 1, "the entry's exit code is not 1")
+
+
 def main():
     build = sys.argv[1]
     limits = {"linger_ms": LINGER_MS, "drain_ms": DRAIN_MS}
-    with Fleet(build, os.path.join(build, "test-drain"), entries=3, prefill=1, decode=3,
+    with Fleet(build, os.path.join(build, "test-drain"), entries=4, prefill=1, decode=3,
                services=2, limits=limits,
                engine_options=("--step-ms", str(STEP_MS)),
                service_options=("--delay-ms", str(SERVICE_DELAY_MS))) as fleet:
@@ -154,6 +179,7 @@
         test_agent(fleet, "decode-1", 2)
         test_agent(fleet, "service-1", 3)
         test_deadline(fleet)
+        test_deadline_answers_a_call(fleet)
         test_second_signal(fleet)
 
 
