An engine that fails after it began a request isn't taken for one that refused it

Cause: decode_attempt reported `not_run` for every answer of an engine that ended without `[DONE]` and without a broken connection: also for 200 whose stream ended early and for 500. The entry passed `not_run` on when no token had come.

Change: only 503 and 4xx of an engine are refusals; anything else may have run.

Before: promise_test, test_a_failed_engine_may_have_run_the_request 0 of 1 (503 `not_run` after one run, for 200 and for 500). After: promise_test 3 of 3, resume_test and silence_test 1 of 1.

--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -15,7 +15,7 @@
 using json = nlohmann::json;
 
 constexpr int status_ok = 200;
-constexpr int status_busy = 503; // The agent refused the prefill before it began.
+constexpr int status_busy = 503; // The request was refused before it began.
 
 /// Tells whether an engine's answer id contains a request id that no digit follows.
 bool contains_request_id(std::string_view text, std::string_view id) noexcept
@@ -169,7 +169,7 @@
         }
         else
         {
-            this->end(run_state::not_run,
+            this->end(this->refused_by_engine() ? run_state::not_run : run_state::unknown,
                       {error_code::unavailable, "decode",
                        this->context->settings.backend.url,
                        "the engine answered " + std::to_string(this->engine_status)});
@@ -177,6 +177,13 @@
     }
 
   private:
+    /// Tells whether the engine's status says that it did not begin the request.
+    [[nodiscard]] bool refused_by_engine() const noexcept
+    {
+        return this->engine_status == status_busy ||
+               (this->engine_status >= 400 && this->engine_status < 500);
+    }
+
     [[nodiscard]] slot_request make_slot_request() const
     {
         const work_estimator& estimator = this->context->estimator;
--- a/tests/process/promise_test.py
+++ b/tests/process/promise_test.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../../scripts/lib"))
 from fleet import FLEET_SECRET, Fleet, call_http, wait_for  # noqa: E402
@@ -67,12 +68,62 @@
     check(answers == [(502, "unknown")], f"unexpected answer to a call that ran: {answers}")
 
 
+class FailingEngine(BaseHTTPRequestHandler):
+    """An engine that runs each request and fails before its first token."""
+
+    protocol_version = "HTTP/1.1"
+    status, runs = 200, 0
+
+    def do_GET(self):  # pylint: disable=invalid-name
+        self.answer(200, b"[]")
+
+    def do_POST(self):  # pylint: disable=invalid-name
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        if self.path == "/v1/completions":
+            FailingEngine.runs += 1
+            self.answer(FailingEngine.status, b"")
+        else:
+            self.answer(200, b"{}")
+
+    def answer(self, status, body):
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        pass
+
+
+def test_a_failed_engine_may_have_run_the_request(fleet):
+    """Guards against `not_run` for a request that an engine began and did not finish."""
+    backend = fleet.backends["decode-1"]
+    backend.child.kill()
+    backend.child.wait()
+    engine = ThreadingHTTPServer(("127.0.0.1", backend.port), FailingEngine)
+    threading.Thread(target=engine.serve_forever, daemon=True).start()
+    body = json.dumps({"model": "drafter", "prompt": "promise", "max_tokens": 4})
+    answers = {}
+    try:
+        for status in (200, 500):
+            FailingEngine.status, FailingEngine.runs = status, 0
+            answer = call_http("POST", fleet.entry_urls()[0] + "/v1/completions", body,
+                               {"Authorization": "Bearer " + fleet.keys["oshana"]})
+            answers[status] = (answer[0], answer[1].get("x-agateseam-run"), FailingEngine.runs)
+    finally:
+        engine.shutdown()
+        engine.server_close()
+    check(all(runs > 0 for _, _, runs in answers.values()), f"no run: {answers}")
+    check(all(run != "not_run" for _, run, _ in answers.values()), f"false promise: {answers}")
+
+
 def main():
     build = sys.argv[1]
     with Fleet(build, os.path.join(build, "test-promise"), entries=1, prefill=1, decode=1,
                services=2, limits={"attempts": 2},
                service_options=("--delay-ms", str(SERVICE_DELAY_MS))) as fleet:
         fleet.configure(["oshana"])
+        test_a_failed_engine_may_have_run_the_request(fleet)
         test_a_refused_second_attempt_does_not_hide_the_first(fleet)
 
 
