A server that says it leaves in an answer gets nothing new from this entry

A replica may tell of its leaving only in its answers (Server-Leaving: 1), while the store's list calls it ready or the store is out of reach.

Change: read_reply_head reads the head of every answer of a server (plain and model, prefill and decode, reservations, releases, reports, failures, late answers to other requests) and records the word in backend_directory, by id and birth. A later list doesn't undo it; a later birth is a new server. What was chosen before asks accepts_work again right before it is sent: a plain request chooses again without using an attempt; a model request gives its place back, keeps its prefilled prompt and its place in the queue. Only calls that free what the server holds still go there. An answer that names another server (Agateseam-Instance-Id) isn't its word. Calls to other entries have a function of their own, as they concern no server.

Ruled out: a filter at the choice alone, since a connection may open or a prompt be prefilled in between; a mark on the list's record, which the next list undoes.

The test of resumption passed by chance (its server is drawn); it now sends eight more streams and fails. The test of what is under way passes before and after. The directory's unit tests use functions that weren't there.

--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -189,6 +189,10 @@
     """A replica; a test may set `handler` to answer requests in another way.
 
     `requests` holds all received requests, `runs` the ids of those that were executed.
+    With `says_leaving`, all its answers say that it leaves, while its entry in the store stays
+    as it is. With `rest_s`, the next request of any kind is refused with that `Retry-After`, and
+    so are all others until that time is over; `arrivals_in_rest` holds when they came, in
+    seconds since the first refusal, and their targets.
     """
 
     id_numbers = itertools.count(1)
@@ -205,6 +209,41 @@
         self.holds, self.handles, self.running = {}, {}, {}
         self.event_count, self.event_delay_s = 4, 0.0
         self.name_numbers = itertools.count(1)
+        self.born = None
+        self.says_leaving, self.left_at = False, None
+        self.rest_s, self.rest_began, self.arrivals_in_rest = None, None, []
+
+    def requests_after_leaving(self, slack_s=0.0):
+        """Returns the requests received more than `slack_s` after the first answer that says that
+        the replica leaves, without those that only free what it holds."""
+        if self.left_at is None:
+            return []
+        return [request for request in self.requests if request.method != "DELETE"
+                and request.arrived > self.left_at + slack_s]
+
+    def notices(self):
+        """Returns the header fields in which the replica tells of itself."""
+        if not self.says_leaving:
+            return []
+        self.left_at = self.left_at or time.monotonic()
+        return [("Server-Leaving", "1")]
+
+    def rest_answer(self, request):
+        """Returns the refusal of a replica that rests, or None."""
+        now = time.monotonic()
+        if self.rest_s is None:
+            return None
+        if self.rest_began is None:
+            self.rest_began = now
+        since_s = now - self.rest_began
+        if since_s >= self.rest_s:
+            self.rest_s = None
+            return None
+        if since_s > 0:
+            self.arrivals_in_rest.append((since_s, request.target))
+        return response_bytes(503, {}, [("Agateseam-Not-Executed", "1"),
+                                        ("Retry-After", f"{self.rest_s - since_s:.3f}"),
+                                        *self.notices()])
 
     def server_spec(self, state="ready"):
         spec = {"service": self.service, "address": self.address, "zone": self.zone,
@@ -212,15 +251,22 @@
                 "sequence": 1}
         if self.stage:
             spec["stage"] = self.stage
+        if self.born is not None:
+            spec["born"] = self.born
         return spec
 
     def identity_headers(self, request):
         return [("Agateseam-Request-Id", request.id),
                 ("Agateseam-Response-Signature", f"{self.id}.{request.id}"),
-                ("Keep-Alive", "timeout=10")]
+                ("Keep-Alive", "timeout=10"), *self.notices()]
 
     async def handle_request(self, request, reader, writer):
+        request.arrived = time.monotonic()
         self.requests.append(request)
+        rest_answer = self.rest_answer(request)
+        if rest_answer:
+            writer.write(rest_answer)
+            return True
         if self.handler:
             keep_open = await self.handler(self, request, reader, writer)
             if keep_open is not None:
@@ -237,26 +283,28 @@
         if request.header("Agateseam-Stage") == "prefill":
             handle = f"{self.id}h{next(self.name_numbers)}"
             self.handles[handle] = request.id
-            writer.write(response_bytes(200, {"kv_handle": handle, "tokens": 1, "version": 1}))
+            writer.write(response_bytes(200, {"kv_handle": handle, "tokens": 1, "version": 1},
+                                        self.notices()))
             return True
         return await self.answer_stream(request, writer)
 
     def handle_platform_call(self, request):
+        if request.target == "/v1/report":
+            return response_bytes(200, {"kv_used": sum(self.running.values())}, self.notices())
         if request.target == "/v1/hold-take":
             tokens = json.loads(request.body)["tokens"]
             if sum(self.holds.values()) + sum(self.running.values()) + tokens > self.capacity:
                 return self.refusal()
             name = f"hold{next(self.name_numbers)}"
             self.holds[name] = tokens
-            return response_bytes(200, {"hold": name})
+            return response_bytes(200, {"hold": name}, self.notices())
         name = request.target.rsplit("/", 1)[1]
         self.holds.pop(name, None)
         self.handles.pop(name, None)
-        return response_bytes(200, {})
+        return response_bytes(200, {}, self.notices())
 
-    @staticmethod
-    def refusal():
-        return response_bytes(503, {}, [("Agateseam-Not-Executed", "1")])
+    def refusal(self):
+        return response_bytes(503, {}, [("Agateseam-Not-Executed", "1"), *self.notices()])
 
     async def answer_plain(self, request, writer):
         self.runs.append(request.id)
--- a/include/agateseam/backend_directory.hpp
+++ b/include/agateseam/backend_directory.hpp
@@ -48,6 +48,9 @@
 /// list would leave no server. So a record that went missing while the list was out of
 /// reach is kept that long, unless its server was leaving. Any other missing record is
 /// dropped at once, since its server may already be replaced.
+///
+/// A server that leaves may say so only in its replies, while the list calls it ready or
+/// is out of reach. Its word holds for that incarnation, whatever the list says later.
 class backend_directory
 {
   public:
@@ -56,6 +59,10 @@
     /// long to a server that is gone.
     static constexpr std::chrono::milliseconds outage_grace{1'800};
 
+    /// How long after its last appearance on the list an incarnation that said it leaves
+    /// is remembered. A list from a relay or a stale read may still name it.
+    static constexpr std::chrono::minutes leaving_memory{10};
+
     /// \brief Adds or replaces a server.
     void put(backend_server server);
 
@@ -69,6 +76,14 @@
     /// \param after_outage whether the list was out of reach until now.
     void replace(std::vector<backend_server> servers, bool after_outage, time_point now);
 
+    /// \brief Records that an incarnation of a server said itself that it leaves.
+    /// \returns whether that was unknown.
+    bool record_leaving(const backend_server& server, time_point now);
+
+    /// \brief Tells whether an incarnation of a server, or a later one under its id, said
+    /// itself that it leaves.
+    [[nodiscard]] bool said_leaving(const backend_server& server) const;
+
     /// \brief Drops servers that were kept for `outage_grace` and did not come back.
     /// \returns whether any server was dropped.
     bool expire(time_point now);
@@ -84,8 +99,8 @@
 
   private:
     struct server_record;
-    static bool keep_after_outage(server_record& record, bool after_outage,
-                                  time_point now);
+    bool keep_after_outage(server_record& record, bool after_outage,
+                           time_point now) const;
 
     struct server_record
     {
@@ -93,7 +108,15 @@
         time_point kept_until{}; ///< Zero unless the server is missing from the list.
     };
 
+    /// The newest incarnation under an id that said it leaves.
+    struct leaving_word
+    {
+        std::uint64_t born_ms = 0;
+        time_point last_listed{};
+    };
+
     std::map<std::string, server_record, std::less<>> records;
+    std::map<std::string, leaving_word, std::less<>> leaving_words;
 };
 
 } // namespace agateseam
--- a/include/agateseam/server_health_tracker.hpp
+++ b/include/agateseam/server_health_tracker.hpp
@@ -45,6 +45,9 @@
     void end(const std::string& id, server_observation observation, duration elapsed,
              time_point now);
 
+    /// \brief Ends an attempt that was not sent and says nothing about the server.
+    void withdraw(const std::string& id);
+
     /// \brief Tells whether a server may be given work now.
     [[nodiscard]] bool allowed(const std::string& id, time_point now) const;
 
--- a/src/core/backend_directory.cpp
+++ b/src/core/backend_directory.cpp
@@ -16,7 +16,7 @@
 {
     const auto found = this->records.find(id);
     if (found != this->records.end() &&
-        !keep_after_outage(found->second, after_outage, now))
+        !this->keep_after_outage(found->second, after_outage, now))
     {
         this->records.erase(found);
     }
@@ -24,9 +24,9 @@
 
 /// Tells whether a server that is missing from the list is kept for now; sets how long.
 bool backend_directory::keep_after_outage(server_record& record, bool after_outage,
-                                          time_point now)
+                                          time_point now) const
 {
-    if (!after_outage || record.server->leaving)
+    if (!after_outage || record.server->leaving || this->said_leaving(*record.server))
     {
         return false;
     }
@@ -49,13 +49,35 @@
     for (auto record = this->records.begin(); record != this->records.end();)
     {
         const bool keep = listed.contains(record->first) ||
-                          keep_after_outage(record->second, after_outage, now);
+                          this->keep_after_outage(record->second, after_outage, now);
         record = keep ? std::next(record) : this->records.erase(record);
     }
 }
 
+bool backend_directory::record_leaving(const backend_server& server, time_point now)
+{
+    if (this->said_leaving(server))
+    {
+        return false;
+    }
+    this->leaving_words[server.id] = {server.born_ms, now};
+    return true;
+}
+
+bool backend_directory::said_leaving(const backend_server& server) const
+{
+    const auto found = this->leaving_words.find(server.id);
+    return found != this->leaving_words.end() && server.born_ms <= found->second.born_ms;
+}
+
 bool backend_directory::expire(time_point now)
 {
+    for (auto& [id, word] : this->leaving_words)
+    {
+        word.last_listed = this->records.contains(id) ? now : word.last_listed;
+    }
+    std::erase_if(this->leaving_words, [now](const auto& item)
+                  { return item.second.last_listed + leaving_memory <= now; });
     const auto dropped =
         std::erase_if(this->records,
                       [now](const auto& item)
@@ -71,7 +93,7 @@
     auto list = std::make_shared<backends_by_service>();
     for (const auto& [id, record] : this->records)
     {
-        if (!record.server->leaving)
+        if (!record.server->leaving && !this->said_leaving(*record.server))
         {
             (*list)[record.server->service].push_back(record.server);
         }
--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -30,8 +30,8 @@
                                                          "entry not heard any more",
                                                          "backend servers listed"};
 /// Events about one server; they are context only if the request was sent to that server.
-constexpr std::array<std::string_view, 2> server_events{"backend server changed",
-                                                        "backend server gone"};
+constexpr std::array<std::string_view, 3> server_events{
+    "backend server changed", "backend server gone", "server says it leaves"};
 
 template <typename List>
 bool contains(const List& list, std::string_view text)
--- a/src/core/server_health_tracker.cpp
+++ b/src/core/server_health_tracker.cpp
@@ -67,6 +67,12 @@
             : health.latency_ms + newest_weight * (elapsed_ms - health.latency_ms);
 }
 
+void server_health_tracker::withdraw(const std::string& id)
+{
+    server_health& health = this->servers[id];
+    health.attempts_under_way -= health.attempts_under_way > 0 ? 1 : 0;
+}
+
 bool server_health_tracker::allowed(const std::string& id, time_point now) const
 {
     const auto found = this->servers.find(id);
--- a/src/gateway/backend_dialect.hpp
+++ b/src/gateway/backend_dialect.hpp
@@ -56,6 +56,8 @@
     std::string request_id; ///< Empty when the reply names no request.
     bool is_signed = false; ///< The reply has a signature field of the server.
     bool not_run = false;   ///< The server says that it did not run the request.
+    std::string server_id;  ///< Of the server that replies; mostly empty.
+    bool leaving = false;   ///< The server says that it shuts down.
     std::optional<std::chrono::milliseconds> retry_after;
 };
 
--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -1,5 +1,7 @@
 #include <gateway/engine_calls.hpp>
 
+#include <gateway/server_replies.hpp>
+
 namespace agateseam
 {
 
@@ -10,71 +12,120 @@
 
 constexpr std::size_t max_answer_size = 1
                                         << 20; // bytes; answers to these calls are small
-/// Detached calls free memory that would expire by itself soon, so they needn't last.
-constexpr auto detached_call_timeout = 500ms;
+/// Releases free memory that would expire by itself soon, so they needn't last.
+constexpr auto release_timeout = 500ms;
+
+/// Takes a connection to an address from the pool, or opens one; null when that fails.
+task<std::shared_ptr<upstream_connection>> connect(entry_state& state,
+                                                   std::string address)
+{
+    auto link = state.pool.take(address);
+    if (!link)
+    {
+        link = co_await state.pool.open(address);
+    }
+    co_return link;
+}
+
+/// Reads the body of an answer whose head was read.
+task<engine_call_result> read_answer(entry_state& state,
+                                     std::shared_ptr<upstream_connection> link,
+                                     io_outcome head_end, time_point deadline)
+{
+    engine_call_result answer;
+    answer.end = head_end;
+    if (answer.end == io_outcome::good)
+    {
+        answer.end = co_await link->read_whole(deadline, max_answer_size);
+    }
+    if (answer.end != io_outcome::good)
+    {
+        link->close();
+        co_return answer;
+    }
+    answer.head = link->head();
+    answer.body = link->take_body();
+    state.pool.return_connection(link);
+    co_return answer;
+}
 
 } // namespace
 
-task<engine_call_result> call_engine(entry_state& state, const std::string& address,
+task<engine_call_result> call_engine(entry_state& state, const backend_server& server,
                                      std::string head,
                                      std::shared_ptr<const std::string> body,
                                      std::string request_id, time_point deadline,
                                      caller_exchange* caller)
 {
     engine_call_result answer;
-    auto link = state.pool.take(address);
-    if (!link)
+    answer.withheld = !state.accepts_work(server);
+    if (answer.withheld)
     {
-        link = co_await state.pool.open(address);
+        co_return answer;
     }
+    const auto link = co_await connect(state, server.address);
     if (!link || (caller != nullptr && caller->disconnected()))
     {
         co_return answer;
     }
+    answer.withheld = !state.accepts_work(server);
+    if (answer.withheld)
+    {
+        link->close();
+        co_return answer;
+    }
     if (caller != nullptr)
     {
         caller->on_disconnect([link] { link->close(); });
     }
     link->send(std::move(head), std::move(body));
-    answer.end = co_await link->read_head(
-        deadline, make_reply_filter(*state.dialect, std::move(request_id)));
-    if (answer.end == io_outcome::good)
-    {
-        answer.end = co_await link->read_whole(deadline, max_answer_size);
-    }
+    const io_outcome head_end =
+        co_await read_reply_head(state, server, *link, std::move(request_id), deadline);
+    answer = co_await read_answer(state, link, head_end, deadline);
     if (caller != nullptr)
     {
         caller->on_disconnect(nullptr);
     }
-    if (answer.end != io_outcome::good)
-    {
-        link->close();
-        co_return answer;
-    }
-    answer.head = link->head();
-    answer.body = link->take_body();
-    state.pool.return_connection(link);
     co_return answer;
 }
 
-void call_engine_detached(entry_state& state, const std::string& address,
-                          std::string head, std::string_view step)
+void release_at_engine(entry_state& state, const backend_server& server, std::string head,
+                       std::string_view step)
 {
     spawn(*state.loop,
-          [&state, address, head = std::move(head),
+          [&state, server, head = std::move(head),
            step = std::string(step)]() mutable -> task<void>
           {
-              const auto answer =
-                  co_await call_engine(state, address, std::move(head), nullptr, "",
-                                       boot_now() + detached_call_timeout, nullptr);
-              if (answer.end != io_outcome::good)
+              const time_point deadline = boot_now() + release_timeout;
+              io_outcome end = io_outcome::not_sent;
+              if (const auto link = co_await connect(state, server.address))
+              {
+                  link->send(std::move(head), nullptr);
+                  end = co_await read_reply_head(state, server, *link, "", deadline);
+                  end = (co_await read_answer(state, link, end, deadline)).end;
+              }
+              if (end != io_outcome::good)
               {
                   log_line(log_level::info, "engine call failed",
                            {{"step", step},
-                            {"peer", address},
-                            {"end", to_string(answer.end)}});
+                            {"peer", server.address},
+                            {"end", to_string(end)}});
               }
           });
 }
 
+task<engine_call_result> call_entry(entry_state& state, const std::string& address,
+                                    std::string head, time_point deadline)
+{
+    const auto link = co_await connect(state, address);
+    if (!link)
+    {
+        co_return engine_call_result{};
+    }
+    link->send(std::move(head), nullptr);
+    const io_outcome head_end = co_await link->read_head(
+        deadline, [](const message_head& reply) { return reply.status > 0; });
+    co_return co_await read_answer(state, link, head_end, deadline);
+}
+
 } // namespace agateseam
--- a/src/gateway/engine_calls.hpp
+++ b/src/gateway/engine_calls.hpp
@@ -10,21 +10,29 @@
 struct engine_call_result
 {
     io_outcome end = io_outcome::not_sent;
+    bool withheld = false; ///< Not sent, as the server accepts no work.
     message_head head;
     std::string body;
 };
 
-/// \brief Sends a call over a pooled or new connection and reads the whole answer.
-/// \param request_id the request that an answer may name; answers that name another are
-/// skipped. \param caller the call ends when this caller disconnects; may be null.
-task<engine_call_result> call_engine(entry_state& state, const std::string& address,
+/// \brief Sends a call over a pooled or new connection and reads the whole answer, unless
+/// the server accepts no work.
+/// \param server must outlive the call. \param request_id the request that an answer may
+/// name; answers that name another are skipped. \param caller the call ends when this
+/// caller disconnects; may be null.
+task<engine_call_result> call_engine(entry_state& state, const backend_server& server,
                                      std::string head,
                                      std::shared_ptr<const std::string> body,
                                      std::string request_id, time_point deadline,
                                      caller_exchange* caller);
 
-/// \brief Sends a call in the background and logs it when it fails.
-void call_engine_detached(entry_state& state, const std::string& address,
-                          std::string head, std::string_view step);
+/// \brief Sends a call that frees what a server holds in the background, also to a server
+/// that leaves, and logs it when it fails.
+void release_at_engine(entry_state& state, const backend_server& server, std::string head,
+                       std::string_view step);
+
+/// \brief Sends a call to another entry and reads the whole answer.
+task<engine_call_result> call_entry(entry_state& state, const std::string& address,
+                                    std::string head, time_point deadline);
 
 } // namespace agateseam
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -119,7 +119,7 @@
         this->state.routing_document = std::move(document);
         this->state.routing_since = now;
         this->state.ledger.set_routing(*this->state.routing, now);
-        this->publish_servers();
+        this->state.publish_servers();
         this->state.digest_due.notify();
         log_line(log_level::info, "configuration in force",
                  {{"version", static_cast<std::int64_t>(this->state.routing->version())},
@@ -132,8 +132,8 @@
                  {{"servers", static_cast<std::int64_t>(servers.size())},
                   {"after_outage", after_outage}});
         this->state.directory.replace(std::move(servers), after_outage, boot_now());
-        this->servers_known = true;
-        this->publish_servers();
+        this->state.servers_known = true;
+        this->state.publish_servers();
     }
 
     void on_server_changed(backend_server server) override
@@ -146,7 +146,7 @@
         this->state.directory.put(std::move(server));
         if (leaving)
         {
-            this->publish_servers();
+            this->state.publish_servers();
             return;
         }
         this->schedule_publication();
@@ -157,7 +157,7 @@
         log_line(log_level::info, "backend server gone",
                  {{"server", id}, {"after_outage", after_outage}});
         this->state.directory.remove(id, after_outage, boot_now());
-        this->publish_servers();
+        this->state.publish_servers();
     }
 
     void on_entries(std::vector<registered_entry> entries) override
@@ -213,33 +213,10 @@
               {
                   co_await pause_for(this->loop, publish_delay);
                   this->publication_scheduled = false;
-                  this->publish_servers();
+                  this->state.publish_servers();
               });
     }
 
-    void publish_servers()
-    {
-        if (!this->servers_known)
-        {
-            return;
-        }
-        this->state.backends = this->state.directory.usable();
-        if (!this->state.routing)
-        {
-            return;
-        }
-        for (const service_properties& service : this->state.routing->services())
-        {
-            if (service.engine)
-            {
-                engine_service& engines = this->state.engines(service.name);
-                engines.placement.set_properties(*service.engine);
-                engines.placement.set_servers(this->state.servers_of(service.name));
-                engines.capacity_changed.notify();
-            }
-        }
-    }
-
     /// Fetches a newer configuration that a peer has.
     void fetch_configuration(std::uint64_t version, const std::string& address)
     {
@@ -261,8 +238,8 @@
     {
         std::string head =
             "GET " + std::string(path) + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
-        auto answer = co_await call_engine(this->state, address, std::move(head), nullptr,
-                                           "", boot_now() + peer_call_timeout, nullptr);
+        auto answer = co_await call_entry(this->state, address, std::move(head),
+                                          boot_now() + peer_call_timeout);
         if (answer.end != io_outcome::good || answer.head.status != status_ok)
         {
             log_line(log_level::info, "entry did not answer",
@@ -369,7 +346,7 @@
             this->state.pool.close_expired();
             if (this->state.directory.expire(boot_now()))
             {
-                this->publish_servers();
+                this->state.publish_servers();
             }
         }
     }
@@ -428,7 +405,6 @@
     std::unique_ptr<caller_listener> callers;
     std::vector<std::unique_ptr<caller_listener>> listeners;
     asio::basic_signal_set<loop_executor> signals;
-    bool servers_known = false;
     bool publication_scheduled = false;
     std::size_t requests_cut = 0;
     time_point last_configuration_fetch_at{};
--- a/src/gateway/entry_state.cpp
+++ b/src/gateway/entry_state.cpp
@@ -38,6 +38,34 @@
     return found == this->backends->end() ? none : found->second;
 }
 
+bool entry_state::accepts_work(const backend_server& server) const
+{
+    return !this->directory.said_leaving(server);
+}
+
+void entry_state::publish_servers()
+{
+    if (!this->servers_known)
+    {
+        return;
+    }
+    this->backends = this->directory.usable();
+    if (!this->routing)
+    {
+        return;
+    }
+    for (const service_properties& service : this->routing->services())
+    {
+        if (service.engine)
+        {
+            engine_service& known = this->engines(service.name);
+            known.placement.set_properties(*service.engine);
+            known.placement.set_servers(this->servers_of(service.name));
+            known.capacity_changed.notify();
+        }
+    }
+}
+
 std::shared_ptr<const backend_server> entry_state::server(const std::string& service,
                                                           const std::string& id) const
 {
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -66,6 +66,13 @@
     [[nodiscard]] std::shared_ptr<const backend_server>
     server(const std::string& service, const std::string& id) const;
 
+    /// \brief Tells whether a server may be sent new work: it hasn't said that it leaves.
+    [[nodiscard]] bool accepts_work(const backend_server& server) const;
+
+    /// \brief Publishes the directory's usable servers to requests and placement. Does
+    /// nothing before the first list.
+    void publish_servers();
+
     event_loop* loop;
     gateway_settings settings;
     std::uint64_t incarnation;
@@ -76,6 +83,7 @@
     time_point routing_since{}; ///< When the current version took effect.
 
     backend_directory directory;
+    bool servers_known = false;                          ///< Whether a list has come.
     std::shared_ptr<const backends_by_service> backends; ///< Null before the first list.
 
     fleet_ledger ledger;
--- a/src/gateway/memory_report_poller.cpp
+++ b/src/gateway/memory_report_poller.cpp
@@ -20,8 +20,12 @@
                        std::shared_ptr<const backend_server> server)
 {
     const auto answer = co_await call_engine(
-        state, server->address, state.dialect->write_memory_report_request(*server),
-        nullptr, "", boot_now() + report_timeout, nullptr);
+        state, *server, state.dialect->write_memory_report_request(*server), nullptr, "",
+        boot_now() + report_timeout, nullptr);
+    if (answer.withheld)
+    {
+        co_return;
+    }
     if (answer.end != io_outcome::good || answer.head.status != status_ok)
     {
         state.counters.add("agateseam_reports_missed_total");
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -1,11 +1,13 @@
 #include <gateway/model_call.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <agateseam/attempt_policy.hpp>
 #include <gateway/engine_calls.hpp>
 #include <gateway/place_finder.hpp>
 #include <gateway/prompt_prefiller.hpp>
+#include <gateway/server_replies.hpp>
 #include <gateway/sse_event_splitter.hpp>
 
 namespace agateseam
@@ -58,14 +60,16 @@
             co_await this->send_unavailable("no_server_large_enough", duration(1s));
             co_return;
         }
-        for (std::uint32_t attempt = 0; attempt < max_start_attempts; ++attempt)
+        for (std::uint32_t attempt = 0; attempt < max_start_attempts;)
         {
             const retry_decision decision = co_await this->start_attempt();
             if (decision != retry_decision::try_another)
             {
+                this->release_kv_cache(std::exchange(this->unused_kv_source, ""));
                 co_await this->finish(decision);
                 co_return;
             }
+            attempt += std::exchange(this->is_withheld, false) ? 0 : 1;
         }
         co_await this->finish(this->report_without_attempt());
     }
@@ -98,8 +102,11 @@
                                              : this->report_without_attempt();
         }
         this->scope->step = "prefill";
-        const std::string kv_source =
-            co_await this->prefiller.run(this->last_event_number);
+        std::string kv_source = std::exchange(this->unused_kv_source, "");
+        if (kv_source.empty())
+        {
+            kv_source = co_await this->prefiller.run(this->last_event_number);
+        }
         if (this->is_caller_gone())
         {
             this->place_search.release(*place);
@@ -127,14 +134,30 @@
             return;
         }
         const std::string handle = kv_source.substr(kv_source.find('/') + 1);
-        call_engine_detached(
-            *this->state, server->address,
-            this->state->dialect->write_kv_release_request(*server, handle), "forget");
+        release_at_engine(*this->state, *server,
+                          this->state->dialect->write_kv_release_request(*server, handle),
+                          "forget");
+    }
+
+    /// Gives up the place at a server that accepts no work any more. The prefilled prompt
+    /// is kept for the next place.
+    retry_decision withhold(decode_place& place, const std::string& kv_source)
+    {
+        log_failure(*this->scope, "decode withheld", place.chosen_server().id,
+                    "accepts no work");
+        this->place_search.release(place);
+        this->unused_kv_source = kv_source;
+        this->is_withheld = true;
+        return retry_decision::try_another;
     }
 
     /// Sends the request to its decode server and relays the answer.
     task<retry_decision> send_decode(decode_place& place, const std::string& kv_source)
     {
+        if (!this->state->accepts_work(place.chosen_server()))
+        {
+            co_return this->withhold(place, kv_source);
+        }
         if (this->requests_sent > 0 &&
             !this->state->ledger.try_take_repeat(this->scope->service, boot_now()))
         {
@@ -164,6 +187,11 @@
             co_return this->is_caller_gone() ? retry_decision::relay
                                              : retry_decision::try_another;
         }
+        if (!this->state->accepts_work(place.chosen_server()))
+        {
+            link->close();
+            co_return this->withhold(place, kv_source);
+        }
         caller_exchange& exchange = *this->scope->exchange;
         exchange.on_disconnect([link] { link->close(); });
         forward_options options;
@@ -188,8 +216,9 @@
         const auto& dialect = *this->state->dialect;
         const time_point started_at = boot_now();
         this->scope->step = "first event";
-        const io_outcome end = co_await link.read_head(
-            this->scope->deadline, make_reply_filter(dialect, this->scope->metadata.id));
+        const io_outcome end =
+            co_await read_reply_head(*this->state, place.chosen_server(), link,
+                                     this->scope->metadata.id, this->scope->deadline);
         if (this->is_caller_gone())
         {
             link.close();
@@ -473,6 +502,9 @@
     std::optional<std::int64_t> last_event_number;
     std::uint32_t requests_sent = 0; ///< Requests sent to decode servers.
     std::uint32_t refusals = 0;
+    /// "IP:port/handle" of the prefilled prompt of a withheld attempt; may be empty.
+    std::string unused_kv_source;
+    bool is_withheld = false; ///< The latest attempt sent nothing to its decode server.
     std::optional<time_point> first_event_at;
     time_point last_event_at{};
 };
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -107,13 +107,19 @@
             std::make_unique<decode_place>(*this->engines, server, this->expected_memory);
         this->state->digest_due.notify();
         this->engines->capacity_changed.notify();
-        if (co_await this->reserve(*place))
+        const bool has_place = co_await this->reserve(*place);
+        if (has_place && this->state->accepts_work(*server))
         {
             this->reserved_at = boot_now();
             this->scope->queue_time = this->reserved_at - arrived;
             this->log_reserved(*server);
             co_return place;
         }
+        if (has_place)
+        {
+            log_failure(*this->scope, "place withheld", server->id, "accepts no work");
+            this->release(*place);
+        }
         place.reset();
         ++this->reservations_refused;
         this->engines->placement.record_refusal(server->id, boot_now());
@@ -192,10 +198,14 @@
     const auto lifetime = std::min<milliseconds>(this->properties.max_reservation_time,
                                                  max_reservation_lifetime);
     const engine_call_result answer = co_await call_engine(
-        *this->state, place.chosen_server().address,
+        *this->state, place.chosen_server(),
         this->state->dialect->write_reservation_request(place.chosen_server(),
                                                         this->initial_tokens(), lifetime),
         nullptr, this->scope->metadata.id, boot_now() + reserve_timeout, nullptr);
+    if (answer.withheld)
+    {
+        co_return false;
+    }
     const bool no_reply = answer.end != io_outcome::good;
     if (no_reply)
     {
@@ -223,10 +233,10 @@
 {
     if (!place.reservation.empty())
     {
-        call_engine_detached(*this->state, place.chosen_server().address,
-                             this->state->dialect->write_release_request(
-                                 place.chosen_server(), place.reservation),
-                             "release");
+        release_at_engine(*this->state, place.chosen_server(),
+                          this->state->dialect->write_release_request(
+                              place.chosen_server(), place.reservation),
+                          "release");
         place.reservation.clear();
     }
 }
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <agateseam/attempt_policy.hpp>
+#include <gateway/server_replies.hpp>
 
 namespace agateseam
 {
@@ -43,6 +44,7 @@
 struct attempt_result
 {
     attempt_outcome end = attempt_outcome::not_sent;
+    bool withheld = false; ///< Not sent, as the server accepts no work any more.
     message_head head;
     std::string body;
 };
@@ -66,6 +68,10 @@
             if (server)
             {
                 outcome = co_await this->attempt(*server);
+                if (outcome.withheld)
+                {
+                    continue;
+                }
                 this->tried.push_back(server->id);
             }
             if (this->scope->exchange->disconnected())
@@ -211,6 +217,12 @@
         ++this->scope->attempts;
         this->state->health.begin(server.id);
         outcome = co_await this->send_and_read(server);
+        if (outcome.withheld)
+        {
+            this->state->health.withdraw(server.id);
+            log_failure(*this->scope, "attempt withheld", server.id, "accepts no work");
+            co_return outcome;
+        }
         const time_point now = boot_now();
         this->state->health.end(server.id, this->observation_of(outcome),
                                 now - started_at, now);
@@ -240,6 +252,12 @@
             this->state->pool.return_connection(link);
             co_return outcome;
         }
+        outcome.withheld = !this->state->accepts_work(server);
+        if (outcome.withheld)
+        {
+            link->close();
+            co_return outcome;
+        }
         const milliseconds left = time_left(*this->scope);
         if (left < min_attempt_time || !this->scope->is_key_valid())
         {
@@ -272,7 +290,7 @@
         {
             this->arm_attempt_timer(timer, link, is_active, limit);
         }
-        const io_outcome end = co_await this->read_whole_answer(*link);
+        const io_outcome end = co_await this->read_whole_answer(*link, server);
         *is_active = false;
         if (end != io_outcome::good)
         {
@@ -286,11 +304,11 @@
         co_return this->classify_answer(outcome.head);
     }
 
-    task<io_outcome> read_whole_answer(upstream_connection& link)
+    task<io_outcome> read_whole_answer(upstream_connection& link,
+                                       const backend_server& server)
     {
-        const io_outcome end = co_await link.read_head(
-            this->scope->deadline,
-            make_reply_filter(*this->state->dialect, this->scope->metadata.id));
+        const io_outcome end = co_await read_reply_head(
+            *this->state, server, link, this->scope->metadata.id, this->scope->deadline);
         if (end != io_outcome::good)
         {
             co_return end;
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -85,14 +85,19 @@
         std::min(started_at + this->engines->latency.prefill_timeout(prompt_tokens),
                  this->scope->deadline);
     const engine_call_result reply = co_await call_engine(
-        *this->state, candidate->address,
-        this->state->dialect->write_request(request, options), request.body,
-        this->scope->metadata.id, deadline, this->scope->exchange);
+        *this->state, *candidate, this->state->dialect->write_request(request, options),
+        request.body, this->scope->metadata.id, deadline, this->scope->exchange);
     const duration elapsed = boot_now() - started_at;
     if (this->scope->exchange->disconnected())
     {
         co_return "";
     }
+    if (reply.withheld)
+    {
+        --this->call_count;
+        log_failure(*this->scope, "prefill withheld", candidate->id, "accepts no work");
+        co_return "";
+    }
     if (reply.end != io_outcome::good)
     {
         record_observation(*this->state, candidate->id, server_observation::unreachable,
--- /dev/null
+++ b/tests/site/leaving_test.py
@@ -0,0 +1,183 @@
+"""Tests an entry while replicas say, only in their answers, that they leave or rest."""
+
+import asyncio
+import os
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import run  # noqa: E402
+from path_test import check, check_complete_stream, cut_after_two, start_site  # noqa: E402
+from platform_site import Site, send_request, wait_for  # noqa: E402
+
+DRAIN_S = 0.25
+
+
+class Load:
+    """Callers that send requests of each kind all the time; `responses` holds all answers."""
+
+    CALLS = (lambda site: site.get("/safe/a"), lambda site: site.post("/once/a"),
+             lambda site: site.request_stream(), lambda site: site.request_stream("/resume/a"))
+
+    def __init__(self, site, callers=8, calls=CALLS, pause_s=0.01):
+        self.site, self.responses, self.stopped, self.pause_s = site, [], False, pause_s
+        self.threads = [threading.Thread(target=self.send, args=(calls[number % len(calls)],))
+                        for number in range(callers)]
+
+    def send(self, call):
+        while not self.stopped:
+            self.responses.append(call(self.site))
+            time.sleep(self.pause_s)
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stopped = True
+        for thread in self.threads:
+            thread.join()
+
+    def check_all_answered(self):
+        others = [(response.status, response.body) for response in self.responses
+                  if response.status != 200 or not response.complete]
+        check(self.responses and not others, len(self.responses), others[:3])
+
+
+def metric(site, name):
+    text = send_request(site.entries[0].metrics, "GET", "/metrics", {}).body.decode()
+    return sum(float(line.rsplit(" ", 1)[1]) for line in text.split("\n")
+               if line.startswith(name + " "))
+
+
+def start_wide_site(build, directory):
+    """Starts a site with two replicas more, so that one of each kind may leave."""
+    site = Site(build, directory)
+    site.add_default_replicas()
+    site.add_replica("plain")
+    site.add_replica("model", stage="prefill")
+    site.configure(1)
+    return site.start()
+
+
+def check_rolling_release(site):
+    old = list(site.replicas)
+    with Load(site) as load:
+        for replica in old:
+            substitute = site.add_replica(replica.service, stage=replica.stage)
+            wait_for(lambda: substitute.requests, "work for the substitute")
+            replica.says_leaving = True
+            wait_for(lambda: replica.left_at, "an answer that says that the replica leaves")
+        time.sleep(0.9)  # A memory report is requested every 0.7 s.
+    load.check_all_answered()
+    for replica in old:
+        late = [request.target for request in replica.requests_after_leaving(DRAIN_S)]
+        check(not late, replica.id, replica.service, replica.stage, len(late), late[:3])
+    said = site.entries[0].log_lines("server says it leaves")
+    check(sorted(line["server"] for line in said) == sorted(replica.id for replica in old), said)
+    check(metric(site, "agateseam_leaving_answers_total") >= len(old))
+
+
+def test_a_release_told_only_by_answers(build, directory):
+    """Guards against work for a replica that the store's list still calls ready."""
+    with start_wide_site(build, directory) as site:
+        check_rolling_release(site)
+
+
+def test_replicas_that_leave_while_the_store_is_silent(build, directory):
+    with start_wide_site(build, directory) as site:
+        leaving = [site.replicas_of("plain")[0], site.replicas_of("model", "prefill")[0],
+                   site.replicas_of("model", "decode")[0]]
+        site.store.mode = "silent"
+        with Load(site) as load:
+            time.sleep(0.2)
+            for replica in leaving:
+                replica.says_leaving = True
+            time.sleep(1.5)
+        load.check_all_answered()
+        for replica in leaving:
+            late = [request.target for request in replica.requests_after_leaving(DRAIN_S)]
+            check(replica.left_at and not late, replica.id, replica.left_at, late[:3])
+
+
+def test_only_a_new_incarnation_is_used_again(build, directory):
+    with start_site(build, directory) as site:
+        first, second = site.replicas_of("plain")
+        first.born = 1_700_000_000_000
+        site.publish_replica(first)
+        wait_for(lambda: site.entries[0].log_lines("backend server changed"), "the replica's birth")
+        time.sleep(0.1)  # Changes are published together 10 ms after the log line.
+        first.says_leaving = True
+        wait_for(lambda: site.get("/safe/a").status == 200 and first.left_at, "the notice")
+        count = len(first.requests)
+        site.run_on_loop(site.store.remove, "servers", first.id)
+        site.publish_replica(first)
+        wait_for(lambda: len(site.entries[0].log_lines("backend server changed")) >= 2,
+                 "the same incarnation on the list again")
+        time.sleep(0.1)
+        for _ in range(10):
+            check(site.get("/safe/a").status == 200)
+        check(len(first.requests) == count, len(first.requests), count)
+        first.says_leaving, first.born = False, first.born + 5_000
+        site.publish_replica(first)
+        wait_for(lambda: site.get("/safe/a").status == 200 and len(first.requests) > count,
+                 "work for the new incarnation")
+
+
+def test_a_stream_from_a_leaving_replica_is_resumed_elsewhere(build, directory):
+    with start_site(build, directory) as site:
+        decode = site.replicas_of("model", "decode")
+        for replica in decode:
+            replica.event_count, replica.handler = 6, leave_and_cut
+        response = site.request_stream("/resume/a")
+        check_complete_stream(response, 6)
+        left, = [replica for replica in decode if replica.left_at]
+        other, = [replica for replica in decode if replica is not left]
+        check(len(left.runs) == 1 and len(other.runs) == 1, left.runs, other.runs)
+        other.handler = None
+        for _ in range(8):
+            check_complete_stream(site.request_stream("/resume/a"), 6)
+        check(len(left.runs) == 1 and len(other.runs) == 9, left.runs, other.runs)
+
+
+async def leave_and_cut(replica, request, reader, writer):
+    """Begins a stream whose head says that the replica leaves, and cuts it."""
+    if request.target.startswith("/v1/"):
+        return None
+    if request.header("Last-Event-Id"):
+        return None
+    replica.says_leaving = True
+    return await cut_after_two(replica, request, reader, writer)
+
+
+def test_a_place_at_a_leaving_replica_is_released(build, directory):
+    """Guards against a stream on a reservation whose own answer said that the replica leaves."""
+    with start_site(build, directory) as site:
+        leaving, other = site.replicas_of("model", "decode")
+        leaving.says_leaving = True
+        wait_for(lambda: site.request_stream().status == 200 and leaving.left_at, "the notice")
+        check(not leaving.runs, leaving.runs)
+        wait_for(lambda: not leaving.holds, "the reservation to be released", 1)
+        check_complete_stream(site.request_stream())
+        check(len(other.runs) >= 2, other.runs)
+
+
+def test_what_is_under_way_at_a_leaving_replica_ends_there(build, directory):
+    async def say_it_at_the_end(replica, request, _reader, _writer):
+        if request.target == "/v1/report":
+            replica.says_leaving = True
+    with start_site(build, directory) as site:
+        decode = site.replicas_of("model", "decode")
+        for replica in decode:
+            replica.event_count, replica.event_delay_s = 20, 0.1
+            replica.handler = say_it_at_the_end
+        response = site.request_stream()
+        check_complete_stream(response, 20)
+        check(all(replica.left_at for replica in decode))
+        check(sum(len(replica.runs) for replica in decode) == 1)
+
+
+if __name__ == "__main__":
+    sys.exit(run.main(globals()))
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -79,3 +79,65 @@
     directory.remove("a", true, start);
     CHECK(directory.size() == 0);
 }
+
+TEST_CASE("a server that said it leaves isn't used again, whatever the list says")
+{
+    backend_directory directory;
+    const backend_server server = make_server("a");
+    directory.replace({server, make_server("b")}, false, start);
+    CHECK(directory.record_leaving(server, start));
+    CHECK(!directory.record_leaving(server, start + 1s));
+    CHECK(directory.said_leaving(server));
+    CHECK(usable_count(directory) == 1);
+    directory.put(make_server("a"));
+    CHECK(usable_count(directory) == 1);
+    directory.remove("a", false, start + 2s);
+    directory.replace({make_server("a"), make_server("b")}, false, start + 3s);
+    CHECK(usable_count(directory) == 1);
+    CHECK(!directory.said_leaving(make_server("b")));
+}
+
+TEST_CASE("a later incarnation under the id of one that said it leaves is used")
+{
+    backend_directory directory;
+    backend_server server = make_server("a");
+    server.born_ms = 1'000;
+    directory.put(server);
+    CHECK(directory.record_leaving(server, start));
+    backend_server earlier = server;
+    earlier.born_ms = 900;
+    directory.put(earlier);
+    CHECK(usable_count(directory) == 0);
+    backend_server later = server;
+    later.born_ms = 2'000;
+    directory.put(later);
+    CHECK(usable_count(directory) == 1);
+    CHECK(directory.record_leaving(later, start + 1s));
+    CHECK(usable_count(directory) == 0);
+}
+
+TEST_CASE("a server that said it leaves isn't kept after an outage of the list")
+{
+    backend_directory directory;
+    const backend_server server = make_server("a");
+    directory.replace({server}, false, start);
+    CHECK(directory.record_leaving(server, start));
+    directory.replace({}, true, start + 1s);
+    CHECK(directory.size() == 0);
+}
+
+TEST_CASE(
+    "the word of a server that left is forgotten some time after it was last listed")
+{
+    backend_directory directory;
+    const backend_server server = make_server("a");
+    directory.put(server);
+    CHECK(directory.record_leaving(server, start));
+    const time_point removed = start + 2 * backend_directory::leaving_memory;
+    directory.expire(removed);
+    directory.remove("a", false, removed);
+    directory.expire(removed + backend_directory::leaving_memory - 1ms);
+    CHECK(directory.said_leaving(server));
+    directory.expire(removed + backend_directory::leaving_memory);
+    CHECK(!directory.said_leaving(server));
+}
