A server that refuses with Retry-After gets nothing from this entry for so long

The value was read and used by nobody: a refusal kept requests away for 15 to 120 ms (plain) or 60 ms (reservations), so that each entry asked again many times.

Change: read_reply_head records the rest in server_health_tracker. Choices, memory reports and new connections leave the server out, and accepts_work stops what was chosen before; releases aren't sent, as what they free expires. The rank and the ejection of the server stay as they are: it is full, not broken. When all servers that run or decode rest, callers are told at once (servers_rest) with the earliest end and a random addition. After a rest one request comes first, the others at intervals that halve.

Ruled out: a longer refusal backoff, since plain requests wait it out and then send anyway; a fixed interval after a rest, which holds a server of one service back for long.

A rest of 30 s was not run over real processes.

--- a/include/agateseam/server_health_tracker.hpp
+++ b/include/agateseam/server_health_tracker.hpp
@@ -30,7 +30,9 @@
 /// while an attempt waited is slow, not unreachable, and is not ejected for that attempt.
 /// Failures only worsen a server's rank, since the requests may be their cause. A full
 /// server refuses requests; it gets none for a moment, so that a burst doesn't spend the
-/// retry budget on refusals.
+/// retry budget on refusals. A server may say how long it wants none: it rests. When a
+/// rest ends, requests that waited for it would all come at once and bring the next one;
+/// so they come back one first, then at intervals that halve.
 class server_health_tracker
 {
   public:
@@ -40,6 +42,14 @@
     /// In about this time one of a full server's few slots is free again.
     static constexpr std::chrono::milliseconds min_refusal_backoff{15};
     static constexpr std::chrono::milliseconds max_refusal_backoff{120};
+    /// The interval between the first and the second request after a rest; about the time
+    /// in which the first one is refused again.
+    static constexpr std::chrono::milliseconds first_return_interval{32};
+    static constexpr std::chrono::milliseconds min_return_interval{2};
+    /// How long after a rest its end still delays requests.
+    static constexpr std::chrono::milliseconds return_window{1'000};
+    /// A rest that another one prolongs by less is the same rest.
+    static constexpr std::chrono::milliseconds min_prolongation{100};
 
     void begin(const std::string& id);
     void end(const std::string& id, server_observation observation, duration elapsed,
@@ -56,6 +66,22 @@
     [[nodiscard]] duration refusal_backoff_left(const std::string& id,
                                                 time_point now) const;
 
+    /// \brief Records that a server wants no requests for a time, which doesn't shorten a
+    /// rest that it has asked for before.
+    /// \returns whether this begins a rest or prolongs it by `min_prolongation`.
+    bool record_rest(const std::string& id, duration rest, time_point now);
+
+    /// \brief Returns how much longer a server rests; zero when it doesn't.
+    [[nodiscard]] duration rest_left(const std::string& id, time_point now) const;
+
+    /// \brief Returns how much longer the next request waits at the end of a server's
+    /// rest, so that not all come back at once.
+    [[nodiscard]] duration return_delay_left(const std::string& id, time_point now) const;
+
+    /// \brief Records that a request chose a server, which delays the next one if the
+    /// server's rest has just ended.
+    void record_choice(const std::string& id, time_point now);
+
     /// \brief Returns the moving average of the time that a server takes for a whole
     /// answer; zero when unknown.
     [[nodiscard]] duration typical_latency(const std::string& id) const;
@@ -89,6 +115,9 @@
         time_point answered_at{};
         time_point refusal_backoff_until{};
         duration refusal_backoff{};
+        time_point rest_until{};
+        duration return_interval{}; ///< Zero when requests come back freely.
+        time_point next_return_at{};
     };
 
     std::unordered_map<std::string, server_health> servers;
--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -30,8 +30,9 @@
                                                          "entry not heard any more",
                                                          "backend servers listed"};
 /// Events about one server; they are context only if the request was sent to that server.
-constexpr std::array<std::string_view, 3> server_events{
-    "backend server changed", "backend server gone", "server says it leaves"};
+constexpr std::array<std::string_view, 4> server_events{
+    "backend server changed", "backend server gone", "server says it leaves",
+    "server rests"};
 
 template <typename List>
 bool contains(const List& list, std::string_view text)
@@ -167,6 +168,14 @@
     {
         return no_decode_place_cause(explanation);
     }
+    if (outcome == "servers_rest")
+    {
+        const json* refusal = last_request_event(explanation, "all servers rest");
+        return "all servers of its service had asked for a rest" +
+               (refusal == nullptr ? std::string()
+                                   : "; the first one ended " +
+                                         integer_text(*refusal, "rest_ms") + " ms later");
+    }
     if (outcome == "no_server")
     {
         return "no server could be given it: " + last_failed_step(explanation);
--- a/src/core/server_health_tracker.cpp
+++ b/src/core/server_health_tracker.cpp
@@ -76,8 +76,15 @@
 bool server_health_tracker::allowed(const std::string& id, time_point now) const
 {
     const auto found = this->servers.find(id);
-    if (found == this->servers.end() ||
-        found->second.unreachable_in_row < ejection_threshold)
+    if (found == this->servers.end())
+    {
+        return true;
+    }
+    if (now < found->second.rest_until)
+    {
+        return false;
+    }
+    if (found->second.unreachable_in_row < ejection_threshold)
     {
         return true;
     }
@@ -94,6 +101,50 @@
                                     duration::zero());
 }
 
+bool server_health_tracker::record_rest(const std::string& id, duration rest,
+                                        time_point now)
+{
+    server_health& health = this->servers[id];
+    const time_point known_end = std::max(health.rest_until, now);
+    health.rest_until = std::max(known_end, now + rest);
+    health.return_interval = first_return_interval;
+    health.next_return_at = {};
+    const duration prolongation = health.rest_until - known_end;
+    return prolongation > duration::zero() &&
+           (known_end == now || prolongation >= min_prolongation);
+}
+
+duration server_health_tracker::rest_left(const std::string& id, time_point now) const
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end()
+               ? duration::zero()
+               : std::max<duration>(found->second.rest_until - now, duration::zero());
+}
+
+duration server_health_tracker::return_delay_left(const std::string& id,
+                                                  time_point now) const
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end()
+               ? duration::zero()
+               : std::max<duration>(found->second.next_return_at - now, duration::zero());
+}
+
+void server_health_tracker::record_choice(const std::string& id, time_point now)
+{
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end() || found->second.return_interval <= duration::zero())
+    {
+        return;
+    }
+    server_health& health = found->second;
+    const bool is_over = health.return_interval < min_return_interval ||
+                         now > health.rest_until + return_window;
+    health.next_return_at = is_over ? time_point{} : now + health.return_interval;
+    health.return_interval = is_over ? duration::zero() : health.return_interval / 2;
+}
+
 duration server_health_tracker::typical_latency(const std::string& id) const
 {
     const auto found = this->servers.find(id);
--- a/src/gateway/backend_dialect.hpp
+++ b/src/gateway/backend_dialect.hpp
@@ -50,6 +50,9 @@
     std::optional<std::int64_t> last_event_number;
 };
 
+/// A longer time counts as this; it stays far from the end of the clock.
+inline constexpr std::chrono::hours max_retry_after{24 * 365 * 100};
+
 /// \brief Metadata read from a backend server's reply.
 struct reply_metadata
 {
@@ -58,7 +61,8 @@
     bool not_run = false;   ///< The server says that it did not run the request.
     std::string server_id;  ///< Of the server that replies; mostly empty.
     bool leaving = false;   ///< The server says that it shuts down.
-    std::optional<std::chrono::milliseconds> retry_after;
+    std::optional<std::chrono::milliseconds> retry_after; ///< At most `max_retry_after`.
+    std::string invalid_retry_after; ///< As sent; empty unless it isn't a time span.
 };
 
 /// \brief A prefilled prompt, kept at the server that processed it.
--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -27,6 +27,11 @@
     co_return link;
 }
 
+bool is_resting(const entry_state& state, const backend_server& server)
+{
+    return state.health.rest_left(server.id, boot_now()) > duration::zero();
+}
+
 /// Reads the body of an answer whose head was read.
 task<engine_call_result> read_answer(entry_state& state,
                                      std::shared_ptr<upstream_connection> link,
@@ -98,7 +103,17 @@
           {
               const time_point deadline = boot_now() + release_timeout;
               io_outcome end = io_outcome::not_sent;
-              if (const auto link = co_await connect(state, server.address))
+              if (is_resting(state, server))
+              {
+                  co_return;
+              }
+              const auto link = co_await connect(state, server.address);
+              if (link && is_resting(state, server))
+              {
+                  state.pool.return_connection(link);
+                  co_return;
+              }
+              if (link)
               {
                   link->send(std::move(head), nullptr);
                   end = co_await read_reply_head(state, server, *link, "", deadline);
--- a/src/gateway/entry_state.cpp
+++ b/src/gateway/entry_state.cpp
@@ -1,5 +1,7 @@
 #include <gateway/entry_state.hpp>
 
+#include <algorithm>
+
 namespace agateseam
 {
 
@@ -40,7 +42,28 @@
 
 bool entry_state::accepts_work(const backend_server& server) const
 {
-    return !this->directory.said_leaving(server);
+    return !this->directory.said_leaving(server) &&
+           this->health.rest_left(server.id, boot_now()) <= duration::zero();
+}
+
+std::optional<duration> entry_state::time_all_rest(const std::string& service,
+                                                   time_point now) const
+{
+    std::optional<duration> shortest;
+    for (const auto& server : this->servers_of(service))
+    {
+        if (server->stage == engine_stage::prefill)
+        {
+            continue;
+        }
+        const duration rest = this->health.rest_left(server->id, now);
+        if (rest <= duration::zero())
+        {
+            return std::nullopt;
+        }
+        shortest = std::min(shortest.value_or(rest), rest);
+    }
+    return shortest;
 }
 
 void entry_state::publish_servers()
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -66,9 +66,15 @@
     [[nodiscard]] std::shared_ptr<const backend_server>
     server(const std::string& service, const std::string& id) const;
 
-    /// \brief Tells whether a server may be sent new work: it hasn't said that it leaves.
+    /// \brief Tells whether a server may be sent new work now: it hasn't said that it
+    /// leaves, and doesn't rest.
     [[nodiscard]] bool accepts_work(const backend_server& server) const;
 
+    /// \brief Returns how long the servers of a service that run whole requests or decode
+    /// all rest; nothing if one doesn't or there is none.
+    [[nodiscard]] std::optional<duration> time_all_rest(const std::string& service,
+                                                        time_point now) const;
+
     /// \brief Publishes the directory's usable servers to requests and placement. Does
     /// nothing before the first list.
     void publish_servers();
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -461,6 +461,13 @@
             co_await send_local_answer(*this->scope, make_stopping_answer());
             co_return;
         }
+        const auto rest = this->state->time_all_rest(this->scope->service, boot_now());
+        if (decision == retry_decision::report_not_run && rest)
+        {
+            co_await send_local_answer(*this->scope,
+                                       make_resting_answer(*this->scope, *rest));
+            co_return;
+        }
         if (decision == retry_decision::report_not_run)
         {
             co_await this->send_unavailable("no_decode_place", this->retry_after_time());
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -75,7 +75,9 @@
     {
         const time_point now = boot_now();
         if (now >= std::min(wait_until, this->scope->deadline) ||
-            !this->scope->is_key_valid() || now + this->expected_wait() > wait_until ||
+            !this->scope->is_key_valid() ||
+            this->state->time_all_rest(this->scope->service, now) ||
+            now + this->expected_wait() > wait_until ||
             this->scope->is_stopped(now + this->expected_wait()))
         {
             break;
@@ -101,6 +103,7 @@
             this->scope->exchange->on_disconnect(nullptr);
             continue;
         }
+        this->state->health.record_choice(server->id, now);
         this->engines->queue.remove(ticket);
         this->is_queued = false;
         auto place =
@@ -132,7 +135,9 @@
     this->engines->capacity_changed.notify();
     this->log_not_reserved(this->scope->exchange->disconnected() ? "caller gone"
                            : this->scope->is_stopped(boot_now()) ? "stopping"
-                                                                 : "no memory in time");
+                           : this->state->time_all_rest(this->scope->service, boot_now())
+                               ? "all servers rest"
+                               : "no memory in time");
     co_return nullptr;
 }
 
@@ -174,7 +179,10 @@
         this->expected_memory, this->state->settings.failure_domain, now,
         this->state->random(),
         [this, now](const std::string& id)
-        { return this->state->health.allowed(id, now); });
+        {
+            return this->state->health.allowed(id, now) &&
+                   this->state->health.return_delay_left(id, now) <= duration::zero();
+        });
 }
 
 /// Returns the memory for the prompt and the first events, in tokens. No more is
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -100,11 +100,14 @@
             const time_point now = boot_now();
             auto server = this->choose(now);
             const duration backoff =
-                server ? this->state->health.refusal_backoff_left(server->id, now)
-                       : duration::zero();
+                server ? this->backoff_left(server->id, now) : duration::zero();
             if (backoff <= duration::zero() || now >= wait_until ||
                 this->scope->exchange->disconnected())
             {
+                if (server)
+                {
+                    this->state->health.record_choice(server->id, now);
+                }
                 co_return server;
             }
             co_await pause_for(*this->state->loop,
@@ -112,6 +115,14 @@
         }
     }
 
+    /// Returns how much longer a server that was full or has rested should get no
+    /// request.
+    [[nodiscard]] duration backoff_left(const std::string& id, time_point now) const
+    {
+        return std::max(this->state->health.refusal_backoff_left(id, now),
+                        this->state->health.return_delay_left(id, now));
+    }
+
     /// Returns the best server that isn't full, or else the one whose backoff ends first.
     [[nodiscard]] std::shared_ptr<const backend_server> choose(time_point now)
     {
@@ -141,7 +152,7 @@
             // Smaller than any other difference, so that it decides only between equals.
             rank += 1e-3 * (this->state->random() % 100);
             const std::pair<duration, double> full_rank{
-                this->state->health.refusal_backoff_left(server->id, now), rank};
+                this->backoff_left(server->id, now), rank};
             if (!best || full_rank < best_rank)
             {
                 best = server;
@@ -393,7 +404,12 @@
         }
         local_answer answer{
             status_bad_gateway, "answer_lost", execution_state::unknown, {}};
-        if (next == retry_decision::report_not_run)
+        const auto rest = this->state->time_all_rest(this->scope->service, boot_now());
+        if (next == retry_decision::report_not_run && rest)
+        {
+            answer = make_resting_answer(*this->scope, *rest);
+        }
+        else if (next == retry_decision::report_not_run)
         {
             answer = {status_unavailable, "no_server", execution_state::not_run,
                       duration(no_server_retry_after)};
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -37,6 +37,7 @@
         {
             break;
         }
+        this->state->health.record_choice(candidate->id, boot_now());
         std::string source = co_await this->prefill_on(candidate, last_event_number);
         if (!source.empty())
         {
@@ -56,7 +57,8 @@
         [this, now, &tried](const std::string& id)
         {
             return std::find(tried.begin(), tried.end(), id) == tried.end() &&
-                   this->state->health.allowed(id, now);
+                   this->state->health.allowed(id, now) &&
+                   this->state->health.return_delay_left(id, now) <= duration::zero();
         });
 }
 
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -14,6 +14,10 @@
 /// A plain request has ended by then or won't succeed.
 constexpr auto max_plain_duration = 1'500ms;
 constexpr auto stopping_retry_after = 50ms;
+/// Callers that were refused during a rest come back within as long as was left of it,
+/// but at least and at most these times, after its end.
+constexpr auto min_return_spread = 50ms;
+constexpr auto max_return_spread = 500ms;
 constexpr local_answer unknown_outcome{
     status_bad_gateway, "answer_lost", execution_state::unknown, {}};
 
@@ -71,6 +75,20 @@
             duration(stopping_retry_after)};
 }
 
+local_answer make_resting_answer(request_scope& scope, duration rest_left)
+{
+    const duration spread =
+        std::clamp<duration>(rest_left, min_return_spread, max_return_spread);
+    const auto spread_ms = static_cast<std::uint32_t>(whole_milliseconds(spread));
+    const duration retry_after =
+        rest_left + std::chrono::milliseconds(scope.state->random(spread_ms));
+    log_line(log_level::info, "all servers rest",
+             {{"request", scope.metadata.id},
+              {"service", scope.service},
+              {"rest_ms", whole_milliseconds(rest_left)}});
+    return {status_unavailable, "servers_rest", execution_state::not_run, retry_after};
+}
+
 task<void> send_local_answer(request_scope& scope, local_answer answer)
 {
     if (answer.execution == execution_state::not_run && scope.possible_runs > 0)
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -86,6 +86,12 @@
 /// Its caller may go to another entry at once.
 [[nodiscard]] local_answer make_stopping_answer() noexcept;
 
+/// \brief Returns the answer to a request while all servers of its service rest, and logs
+/// it. Its caller is told to come back some time after the first rest ends, at random, so
+/// that not all callers come back at once.
+/// \param rest_left until the first of the servers wants work again.
+[[nodiscard]] local_answer make_resting_answer(request_scope& scope, duration rest_left);
+
 /// \brief Sends an answer of the entry, and refunds the tokens if the request did not
 /// run. "Not run" is replaced by "unknown" if a server may have run the request.
 task<void> send_local_answer(request_scope& scope, local_answer answer);
--- a/src/gateway/server_replies.cpp
+++ b/src/gateway/server_replies.cpp
@@ -1,5 +1,6 @@
 #include <gateway/server_replies.hpp>
 
+#include <gateway/request_scope.hpp>
 #include <net/log.hpp>
 
 namespace agateseam
@@ -8,6 +9,8 @@
 namespace
 {
 
+constexpr std::size_t max_logged_characters = 64;
+
 void record_leaving(entry_state& state, const backend_server& server)
 {
     state.counters.add("agateseam_leaving_answers_total");
@@ -19,8 +22,28 @@
     }
 }
 
+void record_rest(entry_state& state, const backend_server& server,
+                 const reply_metadata& reply)
+{
+    if (!reply.invalid_retry_after.empty())
+    {
+        log_line(log_level::warning, "server rest ignored",
+                 {{"server", server.id},
+                  {"value", reply.invalid_retry_after.substr(0, max_logged_characters)}});
+    }
+    if (reply.retry_after &&
+        state.health.record_rest(server.id, *reply.retry_after, boot_now()))
+    {
+        state.counters.add("agateseam_server_rests_total");
+        log_line(log_level::info, "server rests",
+                 {{"server", server.id},
+                  {"service", server.service},
+                  {"rest_ms", std::int64_t{reply.retry_after->count()}}});
+    }
+}
+
 void record_reply(entry_state& state, const backend_server& server,
-                  const reply_metadata& reply)
+                  const reply_metadata& reply, int status)
 {
     // A new server may answer at the address of one that is gone.
     if (!reply.server_id.empty() && reply.server_id != server.id)
@@ -31,6 +54,10 @@
     {
         record_leaving(state, server);
     }
+    if (status == status_unavailable)
+    {
+        record_rest(state, server, reply);
+    }
 }
 
 } // namespace
@@ -44,7 +71,7 @@
         deadline,
         [&state, &server, &names_request](const message_head& head)
         {
-            record_reply(state, server, state.dialect->read_reply(head));
+            record_reply(state, server, state.dialect->read_reply(head), head.status);
             return names_request(head);
         });
 }
--- a/tests/site/leaving_test.py
+++ b/tests/site/leaving_test.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import run  # noqa: E402
 from path_test import check, check_complete_stream, cut_after_two, start_site  # noqa: E402
-from platform_site import Site, send_request, wait_for  # noqa: E402
+from platform_site import Site, response_bytes, send_request, wait_for  # noqa: E402
 
 DRAIN_S = 0.25
 
@@ -179,5 +179,102 @@
         check(sum(len(replica.runs) for replica in decode) == 1)
 
 
+def check_rest(site, replica, rest_s, slack_s):
+    """Lets a replica rest under load, and checks that nothing reaches it meanwhile."""
+    with Load(site):
+        wait_for(lambda: len(replica.requests) > 3, "load at the replica")
+        replica.rest_s = rest_s
+        wait_for(lambda: replica.rest_began, "the replica's refusal")
+        time.sleep(rest_s + 0.4)
+        count = len(replica.requests)
+        wait_for(lambda: len(replica.requests) > count, "work after the rest", 3)
+    late = [arrival for arrival in replica.arrivals_in_rest if arrival[0] > slack_s]
+    check(not late, replica.service, replica.stage, len(late), late[:5])
+    check(len(replica.arrivals_in_rest) <= 8, replica.arrivals_in_rest)
+    rests = site.entries[0].log_lines("server rests")
+    check(any(line["server"] == replica.id for line in rests), rests)
+
+
+def test_a_plain_replica_that_rests(build, directory):
+    with start_site(build, directory) as site:
+        first, second = site.replicas_of("plain")
+        check_rest(site, first, 0.3, 0.1)
+        check_rest(site, second, 2, 0.5)
+        check(metric(site, "agateseam_server_rests_total") >= 2)
+
+
+def test_a_decode_replica_that_rests(build, directory):
+    with start_site(build, directory) as site:
+        first, second = site.replicas_of("model", "decode")
+        check_rest(site, first, 0.3, 0.1)
+        check_rest(site, second, 2, 0.5)
+
+
+def test_a_prefill_replica_that_rests(build, directory):
+    with start_wide_site(build, directory) as site:
+        first, second = site.replicas_of("model", "prefill")
+        check_rest(site, first, 0.3, 0.1)
+        check_rest(site, second, 2, 0.5)
+
+
+def test_callers_are_told_at_once_when_all_servers_rest(build, directory):
+    """Guards against callers that wait in vain, and against an early return of all of them."""
+    with start_site(build, directory) as site:
+        for service, stage, send in (("plain", None, lambda: site.get("/safe/a")),
+                                     ("model", "decode", site.request_stream)):
+            first, second = site.replicas_of(service, stage)
+            first.rest_s, second.rest_s = 3.0, 1.5
+            wait_for(lambda: send().status == 503 and first.rest_began and second.rest_began,
+                     "refusals of both")
+            start_time = time.monotonic()
+            responses = [send() for _ in range(10)]
+            elapsed_s = time.monotonic() - start_time
+            left_s = second.rest_began + 1.5 - start_time
+            check(all(response.status == 503 and b"not_run" in response.body
+                      for response in responses), [response.status for response in responses])
+            check(elapsed_s < 0.5, elapsed_s)
+            waits_s = [float(response.headers["Retry-After"]) for response in responses]
+            check(all(left_s - elapsed_s <= wait_s < left_s + 0.6 for wait_s in waits_s),
+                  left_s, waits_s)
+            check(len(set(waits_s)) > 5, waits_s)
+            check(not [arrival for arrival in second.arrivals_in_rest if arrival[0] > 0.5])
+            time.sleep(max(0.0, second.rest_began + 1.55 - time.monotonic()))
+            check(send().status == 200, service)
+
+
+def refuse_with(retry_after):
+    async def refuse(replica, _request, _reader, writer):
+        writer.write(response_bytes(503, {}, [("Agateseam-Not-Executed", "1"),
+                                              ("Retry-After", retry_after)]))
+        return True
+    return refuse
+
+
+def test_a_retry_after_that_is_no_number_is_ignored(build, directory):
+    with start_site(build, directory) as site:
+        first, second = site.replicas_of("plain")
+        for count, value in enumerate(("Fri, 04 Dec 2026 09:00:00 GMT", "soon", "-3", "inf", "nan"),
+                                      1):
+            first.handler = refuse_with(value)
+            wait_for(lambda: site.get("/safe/a").status == 200 and
+                     len(site.entries[0].log_lines("server rest ignored")) >= count, value)
+        first.handler = None
+        count = len(first.requests)
+        wait_for(lambda: site.get("/safe/a").status == 200 and len(first.requests) > count,
+                 "work for the replica")
+        check(not site.entries[0].log_lines("server rests"))
+
+
+def test_a_very_long_rest_lasts(build, directory):
+    with start_site(build, directory) as site:
+        first, second = site.replicas_of("plain")
+        first.handler = refuse_with("9" * 300)
+        wait_for(lambda: site.get("/safe/a").status == 200 and first.requests, "the refusal")
+        for _ in range(20):
+            check(site.get("/safe/a").status == 200)
+            time.sleep(0.03)
+        check(len(first.requests) == 1, len(first.requests))
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
--- a/tests/unit/platform_documents_test.cpp
+++ b/tests/unit/platform_documents_test.cpp
@@ -132,6 +132,52 @@
     CHECK(forwarded_head.find("Content-Length: 2\r\n") != std::string::npos);
 }
 
+TEST_CASE("a reply's word that its server leaves is read, and only as the page says")
+{
+    const auto dialect = make_platform_dialect();
+    message_head head;
+    head.status = 200;
+    CHECK(!dialect->read_reply(head).leaving);
+    head.fields = {{"server-leaving", "1"}, {"Agateseam-Instance-Id", "i-1"}};
+    CHECK(dialect->read_reply(head).leaving);
+    CHECK(dialect->read_reply(head).server_id == "i-1");
+    head.fields[0].value = "0";
+    CHECK(!dialect->read_reply(head).leaving);
+}
+
+TEST_CASE("a reply's Retry-After is whole or fractional seconds, or else invalid")
+{
+    using std::chrono::milliseconds;
+    const auto dialect = make_platform_dialect();
+    message_head head;
+    head.status = 503;
+    CHECK(!dialect->read_reply(head).retry_after);
+    CHECK(dialect->read_reply(head).invalid_retry_after.empty());
+    const std::vector<std::pair<std::string, milliseconds>> spans{
+        {"0", milliseconds(0)},
+        {"2", milliseconds(2'000)},
+        {"0.3", milliseconds(300)},
+        {"0.0001", milliseconds(1)},
+        {"1000000", milliseconds(1'000'000'000)},
+        {"99999999999999999999", max_retry_after},
+        {std::string(400, '9'), max_retry_after}};
+    for (const auto& [text, span] : spans)
+    {
+        head.fields = {{"Retry-After", text}};
+        const reply_metadata reply = dialect->read_reply(head);
+        CHECK_MESSAGE(reply.retry_after == span, text);
+        CHECK(reply.invalid_retry_after.empty());
+    }
+    for (const char* text : {"Fri, 04 Dec 2026 09:00:00 GMT", "soon", "-1", "inf", "nan",
+                             "1e3", "0x10", "2 s", "+2"})
+    {
+        head.fields = {{"Retry-After", text}};
+        const reply_metadata reply = dialect->read_reply(head);
+        CHECK_MESSAGE(!reply.retry_after, text);
+        CHECK(reply.invalid_retry_after == text);
+    }
+}
+
 TEST_CASE("requests that break the protocol are rejected")
 {
     const auto dialect = make_platform_dialect();
--- a/tests/unit/request_explanation_test.cpp
+++ b/tests/unit/request_explanation_test.cpp
@@ -129,3 +129,38 @@
     CHECK(incomplete.explain()->outcome.empty());
     CHECK(incomplete.explain()->cause.starts_with("its last line is missing"));
 }
+
+TEST_CASE("what a server said of itself is in the story of the requests sent to it")
+{
+    request_explainer explainer("q1");
+    explainer.add_line(log_line_text(1'000, "e1", "server says it leaves",
+                                     R"(,"server":"i-1","service":"plain")"));
+    explainer.add_line(
+        log_line_text(1'100, "e1", "server rests", R"(,"server":"i-2","rest_ms":2000)"));
+    explainer.add_line(
+        log_line_text(1'200, "e1", "server rests", R"(,"server":"i-3","rest_ms":100)"));
+    explainer.add_line(log_line_text(1'300, "e1", "attempt withheld",
+                                     R"(,"request":"q1","server":"i-1")"));
+    explainer.add_line(log_line_text(1'400, "e1", "attempt failed",
+                                     R"(,"request":"q1","server":"i-2")"));
+    explainer.add_line(
+        log_line_text(1'500, "e1", "request", R"(,"request":"q1","outcome":"answered")"));
+    const auto explanation = explainer.explain();
+    REQUIRE(explanation);
+    CHECK(events_of(*explanation) ==
+          std::vector<std::string>{"server says it leaves", "server rests",
+                                   "attempt withheld", "attempt failed", "request"});
+}
+
+TEST_CASE("a request that was refused while all servers rested is explained")
+{
+    request_explainer explainer("q1");
+    explainer.add_line(log_line_text(1'000, "e1", "all servers rest",
+                                     R"(,"request":"q1","rest_ms":1460)"));
+    explainer.add_line(log_line_text(1'100, "e1", "request",
+                                     R"(,"request":"q1","outcome":"servers_rest")"));
+    const auto explanation = explainer.explain();
+    REQUIRE(explanation);
+    CHECK(explanation->cause == "all servers of its service had asked for a rest; the "
+                                "first one ended 1460 ms later");
+}
--- a/tests/unit/server_choice_test.cpp
+++ b/tests/unit/server_choice_test.cpp
@@ -232,3 +232,73 @@
     CHECK(estimator.prefill_timeout(500'000) ==
           model_latency_estimator::max_prefill_timeout);
 }
+
+TEST_CASE("a server that rests gets nothing until its rest is over")
+{
+    server_health_tracker tracker;
+    CHECK(tracker.record_rest("a", 2s, start));
+    CHECK(!tracker.allowed("a", start));
+    CHECK(tracker.rest_left("a", start + 500ms) == 1'500ms);
+    CHECK(!tracker.allowed("a", start + 2s - 1ns));
+    CHECK(tracker.allowed("a", start + 2s));
+    CHECK(tracker.rest_left("a", start + 3s) == 0s);
+    CHECK(tracker.allowed("b", start));
+    CHECK(tracker.rest_left("b", start) == 0s);
+    // It is full, not broken: its rank is as before.
+    CHECK(tracker.rank("a") == 0);
+}
+
+TEST_CASE("a later refusal prolongs a rest and doesn't shorten it")
+{
+    server_health_tracker tracker;
+    CHECK(tracker.record_rest("a", 2s, start));
+    CHECK(!tracker.record_rest("a", 1s, start + 10ms));
+    CHECK(tracker.rest_left("a", start) == 2s);
+    CHECK(!tracker.record_rest("a", 2s, start + 10ms));
+    CHECK(tracker.rest_left("a", start) == 2'010ms);
+    CHECK(tracker.record_rest("a", 30s, start + 20ms));
+    CHECK(tracker.rest_left("a", start) == 30'020ms);
+    CHECK(!tracker.record_rest("b", 0s, start));
+    CHECK(tracker.allowed("b", start));
+}
+
+TEST_CASE("an answer of another request doesn't end a rest")
+{
+    server_health_tracker tracker;
+    tracker.begin("a");
+    tracker.record_rest("a", 2s, start);
+    tracker.end("a", server_observation::good, 10ms, start + 100ms);
+    CHECK(!tracker.allowed("a", start + 1s));
+}
+
+TEST_CASE("after a rest one request comes first, and the others at shorter intervals")
+{
+    // Load: 400 requests wait for a server's rest to end, and look each millisecond.
+    server_health_tracker tracker;
+    tracker.record_rest("a", 2s, start);
+    std::vector<duration> sent;
+    for (duration since = 0ms; since < 3s && sent.size() < 400; since += 1ms)
+    {
+        while (sent.size() < 400 && tracker.allowed("a", start + since) &&
+               tracker.return_delay_left("a", start + since) == 0s)
+        {
+            tracker.record_choice("a", start + since);
+            sent.push_back(since);
+        }
+    }
+    REQUIRE(sent.size() == 400);
+    CHECK(sent[0] == 2s);
+    CHECK(sent[1] == 2s + server_health_tracker::first_return_interval);
+    CHECK(sent[2] - sent[1] == server_health_tracker::first_return_interval / 2);
+    CHECK(sent[4] > 2s + 55ms);
+    CHECK(sent[399] < 2'100ms);
+}
+
+TEST_CASE("a rest that ended long ago delays no request")
+{
+    server_health_tracker tracker;
+    tracker.record_rest("a", 100ms, start);
+    const time_point later = start + 100ms + server_health_tracker::return_window + 1ms;
+    tracker.record_choice("a", later);
+    CHECK(tracker.return_delay_left("a", later) == 0s);
+}
