Tests: a reserved place is chosen again when its server leaves or rests

A stream holds a place at a decode server while its prompt is read, and the server says meanwhile, in the answer to another reservation, that it leaves or rests. The stream goes to another server with the prompt that was read, and the place of a leaving server is released.

A connection whose request was withheld goes back to the pool instead of being closed, as it carried nothing and a new one is priced.

--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -76,7 +76,7 @@
     answer.withheld = !state.accepts_work(server);
     if (answer.withheld)
     {
-        link->close();
+        state.pool.return_connection(link);
         co_return answer;
     }
     if (caller != nullptr)
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -189,7 +189,7 @@
         }
         if (!this->state->accepts_work(place.chosen_server()))
         {
-            link->close();
+            this->state->pool.return_connection(link);
             co_return this->withhold(place, kv_source);
         }
         caller_exchange& exchange = *this->scope->exchange;
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -266,7 +266,7 @@
         outcome.withheld = !this->state->accepts_work(server);
         if (outcome.withheld)
         {
-            link->close();
+            this->state->pool.return_connection(link);
             co_return outcome;
         }
         const milliseconds left = time_left(*this->scope);
--- a/tests/site/leaving_test.py
+++ b/tests/site/leaving_test.py
@@ -164,6 +164,65 @@
         check(len(other.runs) >= 2, other.runs)
 
 
+async def prefill_slowly(replica, request, _reader, _writer):
+    if request.header("Agateseam-Stage") == "prefill":
+        await asyncio.sleep(0.3)
+
+
+def start_stream_with_place(site):
+    """Starts a stream whose prompt is still read while its place at a decode replica is held."""
+    prefill, = site.replicas_of("model", "prefill")
+    prefill.handler = prefill_slowly
+    responses = []
+    stream = threading.Thread(target=lambda: responses.append(site.request_stream()))
+    stream.start()
+    wait_for(lambda: prefill.requests, "the prefill of the stream")
+    return stream, responses
+
+
+def start_site_with_one_decode_replica(build, directory):
+    site = Site(build, directory)
+    site.add_replica("model", stage="prefill")
+    site.add_replica("model", stage="decode")
+    site.configure(1)
+    return site.start()
+
+
+def test_a_place_is_chosen_again_when_its_replica_leaves(build, directory):
+    with start_site_with_one_decode_replica(build, directory) as site:
+        prefill, first = site.replicas
+        stream, responses = start_stream_with_place(site)
+        first.says_leaving = True
+        other = threading.Thread(target=lambda: responses.append(site.request_stream()))
+        other.start()
+        wait_for(lambda: first.left_at, "a reservation answered with the replica's word")
+        second = site.add_replica("model", stage="decode")
+        stream.join()
+        other.join()
+        for response in responses:
+            check_complete_stream(response)
+        check(not first.runs and len(second.runs) == 2, first.runs, second.runs)
+        check(not first.holds, first.holds)
+        read = [request for request in prefill.requests if request.method == "POST"]
+        check(len(read) == 2, len(read))
+
+
+def test_a_place_is_chosen_again_when_its_replica_rests(build, directory):
+    with start_site_with_one_decode_replica(build, directory) as site:
+        prefill, first = site.replicas
+        stream, responses = start_stream_with_place(site)
+        first.rest_s = 5.0
+        response = site.request_stream()
+        check(response.status == 503 and b"servers_rest" in response.body, response.body)
+        second = site.add_replica("model", stage="decode")
+        stream.join()
+        check_complete_stream(responses[0])
+        check(not first.runs and len(second.runs) == 1, first.runs, second.runs)
+        check(not first.arrivals_in_rest, first.arrivals_in_rest)
+        read = [request for request in prefill.requests if request.method == "POST"]
+        check(len(read) == 1, len(read))
+
+
 def test_what_is_under_way_at_a_leaving_replica_ends_there(build, directory):
     async def say_it_at_the_end(replica, request, _reader, _writer):
         if request.target == "/v1/report":
