--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -87,7 +87,9 @@
     {
         const time_point now = boot_now();
         if (now >= std::min(wait_until, this->scope->deadline) ||
-            !this->scope->is_key_valid() || now + this->expected_wait() > wait_until ||
+            !this->scope->is_key_valid() ||
+            this->state->time_all_rest(this->scope->service, now) ||
+            now + this->expected_wait() > wait_until ||
             this->scope->may_not_start(now + this->expected_wait()))
         {
             break;
@@ -113,19 +115,26 @@
             this->scope->exchange->on_disconnect(nullptr);
             continue;
         }
+        this->state->health.record_choice(server->id, now);
         this->engines->queue.remove(ticket);
         this->is_queued = false;
         auto place =
             std::make_unique<decode_place>(*this->engines, server, this->expected_memory);
         this->state->digest_due.notify();
         this->engines->capacity_changed.notify();
-        if (co_await this->reserve(*place))
+        const bool has_place = co_await this->reserve(*place);
+        if (has_place && this->state->accepts_work(*server))
         {
             this->reserved_at = boot_now();
             this->scope->queue_time = this->reserved_at - arrived;
             this->log_reserved(*server);
             co_return place;
         }
+        if (has_place)
+        {
+            log_failure(*this->scope, "place withheld", server->id, "accepts no work");
+            this->release(*place);
+        }
         place.reset();
         ++this->reservations_refused;
         this->engines->placement.record_refusal(server->id, boot_now());
@@ -136,9 +145,10 @@
     this->is_queued = false;
     this->scope->queue_time = boot_now() - arrived;
     this->engines->capacity_changed.notify();
-    this->log_not_reserved(this->scope->exchange->disconnected() ? "caller gone"
-                           : this->scope->may_not_start(boot_now())
-                               ? "stopping"
+    this->log_not_reserved(this->scope->exchange->disconnected()    ? "caller gone"
+                           : this->scope->may_not_start(boot_now()) ? "stopping"
+                           : this->state->time_all_rest(this->scope->service, boot_now())
+                               ? "all servers rest"
                                : "no memory in time");
     co_return nullptr;
 }
@@ -181,7 +191,10 @@
         this->expected_memory, this->state->settings.failure_domain, now,
         this->state->random(),
         [this, now](const std::string& id)
-        { return this->state->health.allowed(id, now); });
+        {
+            return this->state->health.allowed(id, now) &&
+                   this->state->health.return_delay_left(id, now) <= duration::zero();
+        });
 }
 
 /// Returns the memory for the prompt and the first events, in tokens. No more is
@@ -205,10 +218,14 @@
     const auto lifetime = std::min<milliseconds>(this->properties.max_reservation_time,
                                                  max_reservation_lifetime);
     const engine_call_result answer =
-        co_await call_engine(*this->state, place.chosen_server().address,
+        co_await call_engine(*this->state, place.chosen_server(),
                              this->state->dialect->write_reservation_request(
                                  place.chosen_server(), this->initial_tokens(), lifetime),
                              nullptr, "", boot_now() + reserve_timeout, nullptr);
+    if (answer.withheld)
+    {
+        co_return false;
+    }
     const bool no_reply = answer.end != io_outcome::good;
     if (no_reply)
     {
@@ -236,10 +253,10 @@
 {
     if (!place.reservation.empty())
     {
-        call_engine_detached(*this->state, place.chosen_server().address,
-                             this->state->dialect->write_release_request(
-                                 place.chosen_server(), place.reservation),
-                             "release");
+        release_at_engine(*this->state, place.chosen_server(),
+                          this->state->dialect->write_release_request(
+                              place.chosen_server(), place.reservation),
+                          "release");
         place.reservation.clear();
     }
 }
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <agateseam/attempt_policy.hpp>
+#include <gateway/server_replies.hpp>
 
 namespace agateseam
 {
@@ -43,6 +44,7 @@
 struct attempt_result
 {
     attempt_outcome end = attempt_outcome::not_sent;
+    bool withheld = false; ///< Not sent, as the server accepts no work any more.
     message_head head;
     std::string body;
 };
@@ -66,6 +68,10 @@
             if (server)
             {
                 outcome = co_await this->attempt(*server);
+                if (outcome.withheld)
+                {
+                    continue;
+                }
                 this->tried.push_back(server->id);
             }
             if (this->scope->exchange->disconnected())
@@ -94,11 +100,14 @@
             const time_point now = boot_now();
             auto server = this->choose(now);
             const duration backoff =
-                server ? this->state->health.refusal_backoff_left(server->id, now)
-                       : duration::zero();
+                server ? this->backoff_left(server->id, now) : duration::zero();
             if (backoff <= duration::zero() || now >= wait_until ||
                 this->scope->exchange->disconnected())
             {
+                if (server)
+                {
+                    this->state->health.record_choice(server->id, now);
+                }
                 co_return server;
             }
             co_await pause_for(*this->state->loop,
@@ -106,6 +115,14 @@
         }
     }
 
+    /// Returns how much longer a server that was full or has rested should get no
+    /// request.
+    [[nodiscard]] duration backoff_left(const std::string& id, time_point now) const
+    {
+        return std::max(this->state->health.refusal_backoff_left(id, now),
+                        this->state->health.return_delay_left(id, now));
+    }
+
     /// Returns the best server that isn't full, or else the one whose backoff ends first.
     [[nodiscard]] std::shared_ptr<const backend_server> choose(time_point now)
     {
@@ -133,7 +150,7 @@
             // Smaller than any other difference, so that it decides only between equals.
             rank += 1e-3 * (this->state->random() % 100);
             const std::pair<duration, double> full_rank{
-                this->state->health.refusal_backoff_left(server->id, now), rank};
+                this->backoff_left(server->id, now), rank};
             if (!best || full_rank < best_rank)
             {
                 best = server;
@@ -231,6 +248,12 @@
         ++this->scope->attempts;
         this->state->health.begin(server.id);
         outcome = co_await this->send_and_read(server);
+        if (outcome.withheld)
+        {
+            this->state->health.withdraw(server.id);
+            log_failure(*this->scope, "attempt withheld", server.id, "accepts no work");
+            co_return outcome;
+        }
         const time_point now = boot_now();
         this->state->health.end(server.id, this->observation_of(outcome),
                                 now - started_at, now);
@@ -260,6 +283,12 @@
             this->state->pool.return_connection(link);
             co_return outcome;
         }
+        outcome.withheld = !this->state->accepts_work(server);
+        if (outcome.withheld)
+        {
+            this->state->pool.return_connection(link);
+            co_return outcome;
+        }
         const milliseconds left = time_left(*this->scope);
         if (left < min_attempt_time || !this->scope->is_key_valid())
         {
@@ -292,7 +321,7 @@
         {
             this->arm_attempt_timer(timer, link, is_active, limit);
         }
-        const io_outcome end = co_await this->read_whole_answer(*link);
+        const io_outcome end = co_await this->read_whole_answer(*link, server);
         *is_active = false;
         if (end != io_outcome::good)
         {
@@ -306,11 +335,11 @@
         co_return this->classify_answer(outcome.head);
     }
 
-    task<io_outcome> read_whole_answer(upstream_connection& link)
+    task<io_outcome> read_whole_answer(upstream_connection& link,
+                                       const backend_server& server)
     {
-        const io_outcome end = co_await link.read_head(
-            this->scope->deadline,
-            make_reply_filter(*this->state->dialect, link, this->scope->metadata.id));
+        const io_outcome end = co_await read_reply_head(
+            *this->state, server, link, this->scope->metadata.id, this->scope->deadline);
         if (end != io_outcome::good)
         {
             co_return end;
@@ -395,7 +424,12 @@
         }
         local_answer answer{
             status_bad_gateway, "answer_lost", execution_state::unknown, {}};
-        if (next == retry_decision::report_not_run)
+        const auto rest = this->state->time_all_rest(this->scope->service, boot_now());
+        if (next == retry_decision::report_not_run && rest)
+        {
+            answer = make_resting_answer(*this->scope, *rest);
+        }
+        else if (next == retry_decision::report_not_run)
         {
             answer = {status_unavailable, "no_server", execution_state::not_run,
                       duration(no_server_retry_after)};
