The store's era goes with its revisions, and a restored store is read and written anew

A store that comes back from a copy (a drill) gives revisions out again, so a revision alone names no place in its history. Entries that followed a relay on from a revision of before missed every change up to it; usage that was acknowledged in the lost seconds was never written again; entries stayed unregistered until their next list; servers that the copy lacks were dropped at once when the store was away for less than 0.8 s.

The store's client reads the era from each answer, error answers too, as part of `store_position`. Lists, watches, the change history and relays carry it. The session drops answers of an older era; a newer one, from the store or a relay, ends the calls in progress, lists all objects again, registers the entry and marks its records of usage as unwritten. Records are whole, under the process's own name, so writing one twice bills nothing twice; finished hours are kept for a minute after their last write. Versions in force stay, with log lines when the store is behind and when it has caught up.

Ruled out: the era in digests, which would be another format and make entries of two releases deaf to each other in a rolling release. A relay's query without an era, from an older release, reads the relay's own.

Where connections hang instead of ending, it takes up to the watch's time-out of 2.6 s until the new era is heard.

--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -92,10 +92,14 @@
 
 
 class Store(Server):
-    """The platform's store: objects by kind and name, one revision counter, and watches."""
+    """The platform's store: objects by kind and name, one revision counter, and watches.
+
+    A drill replaces it by a copy that is some seconds old, in the next era.
+    """
 
     def __init__(self):
         super().__init__()
+        self.era = 1
         self.objects_by_kind = {}
         self.revision = 1
         self.history = []
@@ -103,6 +107,10 @@
         self.changed = asyncio.Event()
         self.mode = "up"  # or: busy, silent, reset
         self.calls = []
+        self.journal = []  # (time, revision, kind, name, object or None) of each change
+        # A function of a request that returns for how long its response is held back.
+        self.response_delay = None
+        self.open_calls = {}  # the latest request of each open connection by its writer
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -121,9 +129,57 @@
 
     def record_event(self, kind, stored, tombstone):
         self.history.append((self.revision, kind, {"object": stored, "tombstone": tombstone}))
+        self.journal.append((time.monotonic(), self.revision, kind, stored["metadata"]["name"],
+                             None if tombstone else stored))
+        self.wake_watches()
+
+    def wake_watches(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self, age_s=0):
+        """Returns a copy of the store as it was some seconds ago."""
+        latest = time.monotonic() - age_s
+        return [change for change in self.journal if change[0] <= latest]
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is gone, and its revisions are given
+        out again."""
+        self.era += 1
+        self.journal = list(copy)
+        self.revision = max((change[1] for change in copy), default=1)
+        self.objects_by_kind = {}
+        for _, _, kind, name, stored in copy:
+            objects = self.objects_by_kind.setdefault(kind, {})
+            if stored is None:
+                objects.pop(name, None)
+            else:
+                objects[name] = stored
+        self.history = [event for event in self.history if event[0] <= self.revision]
+        self.oldest_revision = min(self.oldest_revision, self.revision)
+        self.wake_watches()
+
+    async def drill(self, away_s, lost_s=0, copy=None, cuts=lambda request: True):
+        """Goes away and comes back from a copy, by default of `lost_s` ago.
+
+        `cuts` tells by its latest request whether a connection is reset. Others stay open: a
+        response that was under way may still arrive, but a watch gets none.
+        """
+        copy = self.copy(lost_s) if copy is None else copy
+        for writer, request in list(self.open_calls.items()):
+            if cuts(request) and not writer.is_closing():
+                reset_connection(writer)
+        self.mode = "reset"
+        await asyncio.sleep(away_s)
+        self.restore(copy)
+        self.mode = "up"
+
+    async def serve_connection(self, reader, writer):
+        try:
+            await super().serve_connection(reader, writer)
+        finally:
+            self.open_calls.pop(writer, None)
+
     def compact(self):
         """Discards the history, so that watches from older revisions fail."""
         self.history, self.oldest_revision = [], self.revision + 1
@@ -131,18 +187,22 @@
 
     async def handle_request(self, request, reader, writer):
         self.calls.append((request.method, request.target))
+        self.open_calls[writer] = request
         if self.mode == "silent":
             await asyncio.sleep(3600)
         if self.mode == "reset":
             reset_connection(writer)
             return False
+        era = self.era
         if self.mode == "busy":
-            writer.write(response_bytes(503, {}))
+            writer.write(response_bytes(503, {}, [("Store-Era", era)]))
             return True
         status, body = await self.handle_call(request)
-        if self.mode == "silent":
-            await asyncio.sleep(3600)
-        writer.write(response_bytes(status, body))
+        if self.mode == "silent" or era != self.era:
+            await asyncio.sleep(3600)  # Connections of the older era return nothing further.
+        if self.response_delay:
+            await asyncio.sleep(self.response_delay(request))
+        writer.write(response_bytes(status, body, [("Store-Era", era)]))
         await writer.drain()
         return True
 
@@ -172,7 +232,7 @@
     async def watch(self, kind, after_revision, wait_ms):
         deadline = time.monotonic() + wait_ms / 1000
         while True:
-            if after_revision < self.oldest_revision:
+            if not self.oldest_revision <= after_revision <= self.revision:
                 return 410, {}
             events = [event for revision, event_kind, event in self.history
                       if event_kind == kind and revision > after_revision]
--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -48,6 +48,7 @@
 #include <agateseam/static_admission.hpp>
 #include <agateseam/stop_schedule.hpp>
 #include <agateseam/store_budget.hpp>
+#include <agateseam/store_position.hpp>
 #include <agateseam/store_watch_plan.hpp>
 #include <agateseam/token_buckets.hpp>
 #include <agateseam/usage.hpp>
--- a/include/agateseam/change_history.hpp
+++ b/include/agateseam/change_history.hpp
@@ -9,13 +9,16 @@
 #include <string_view>
 #include <vector>
 
+#include <agateseam/error.hpp>
+#include <agateseam/store_position.hpp>
+
 namespace agateseam
 {
 
 /// \brief One change of an object, or its removal.
 struct object_change
 {
-    std::uint64_t revision = 0; ///< Revision at which the change was known.
+    std::uint64_t revision = 0; ///< Revision at which the change was known, in the era.
     std::string name;
     std::string document; ///< The object as the platform wrote it.
     bool removed = false;
@@ -24,8 +27,9 @@
 
 /// \brief A copy of a set of objects with its latest changes by revision.
 ///
-/// Revisions are those of the platform's store, so a reader may move from one copy to
-/// another, or to the store itself, and go on at the revision that it has reached.
+/// Positions are those of the platform's store, so a reader may move from one copy to
+/// another, or to the store itself, and go on at the position that it has reached. A copy
+/// is of one era: only a complete list takes it to another.
 class change_history
 {
   public:
@@ -33,17 +37,21 @@
     static constexpr std::size_t max_changes = 512;
 
     /// \brief Replaces all objects by a complete list; earlier changes are forgotten.
-    void replace(std::map<std::string, std::string> listed, std::uint64_t revision);
+    void replace(std::map<std::string, std::string> listed, store_position position);
 
     /// \brief Adds the changes that one answer of the store contained.
-    /// \param revision the store's revision that the answer covers.
-    void record(std::vector<object_change> changes, std::uint64_t revision);
+    /// \param position the store's position that the answer covers.
+    /// \returns `conflict` if the position is of another era than this copy, which then
+    /// stays as it is.
+    [[nodiscard]] result<void> record(std::vector<object_change> changes,
+                                      store_position position);
 
-    /// \brief Returns the changes after a revision in their order; empty when there are
-    /// none yet, also for a reader that is ahead of this copy.
-    /// \returns no value when the changes since then are not known any more.
+    /// \brief Returns the changes after a position in their order; empty when there are
+    /// none yet, also for a reader that is ahead of this copy in its era.
+    /// \returns no value when the changes since then are not known any more, or when the
+    /// position is of another era.
     [[nodiscard]] std::optional<std::vector<const object_change*>>
-    changes_since(std::uint64_t revision) const;
+    changes_since(store_position position) const;
 
     /// \brief Returns all objects' documents by name.
     [[nodiscard]] const std::map<std::string, std::string>& objects() const noexcept
@@ -51,14 +59,15 @@
         return this->current;
     }
 
-    /// \brief Returns the revision up to which all changes are known; 0 before a list.
-    [[nodiscard]] std::uint64_t revision() const noexcept { return this->known_until; }
+    /// \brief Returns the position up to which all changes are known; zeros before a
+    /// list.
+    [[nodiscard]] store_position position() const noexcept { return this->known_until; }
 
   private:
     std::map<std::string, std::string> current;
     std::deque<object_change> recent;
     std::uint64_t known_from = 0; ///< Changes after this revision are in `recent`.
-    std::uint64_t known_until = 0;
+    store_position known_until;
 };
 
 } // namespace agateseam
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -156,6 +156,7 @@
 struct object_change;
 class change_history;
 struct watch_candidate;
+struct store_position;
 struct store_watch_plan;
 
 // Placement, retries and prediction of work.
--- a/src/core/change_history.cpp
+++ b/src/core/change_history.cpp
@@ -6,22 +6,28 @@
 {
 
 void change_history::replace(std::map<std::string, std::string> listed,
-                             std::uint64_t revision)
+                             store_position position)
 {
     this->current = std::move(listed);
     this->recent.clear();
-    this->known_from = revision;
-    this->known_until = revision;
+    this->known_from = position.revision;
+    this->known_until = position;
 }
 
-void change_history::record(std::vector<object_change> changes, std::uint64_t revision)
+result<void> change_history::record(std::vector<object_change> changes,
+                                    store_position position)
 {
-    this->known_until = std::max(this->known_until, revision);
+    if (position.era != this->known_until.era)
+    {
+        return fail(error_code::conflict, "record changes", "",
+                    "the changes are of another store era");
+    }
+    this->known_until = std::max(this->known_until, position);
     for (object_change& change : changes)
     {
         // The answer's revision covers all of its changes, and a reader gets them all or
         // none.
-        change.revision = this->known_until;
+        change.revision = this->known_until.revision;
         if (change.removed)
         {
             this->current.erase(change.name);
@@ -37,19 +43,20 @@
         this->known_from = this->recent.front().revision;
         this->recent.pop_front();
     }
+    return {};
 }
 
 std::optional<std::vector<const object_change*>>
-change_history::changes_since(std::uint64_t revision) const
+change_history::changes_since(store_position position) const
 {
-    if (revision < this->known_from)
+    if (position.era != this->known_until.era || position.revision < this->known_from)
     {
         return std::nullopt;
     }
     std::vector<const object_change*> later;
     for (const object_change& change : this->recent)
     {
-        if (change.revision > revision)
+        if (change.revision > position.revision)
         {
             later.push_back(&change);
         }
--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -20,15 +20,19 @@
 
 /// Events without a request's id that change the state on which a process bases its
 /// decisions.
-constexpr std::array<std::string_view, 9> context_events{"platform store out of reach",
-                                                         "platform store reached again",
-                                                         "configuration in force",
-                                                         "settings loaded",
-                                                         "draining",
-                                                         "stopped",
-                                                         "started",
-                                                         "entry not heard any more",
-                                                         "backend servers listed"};
+constexpr std::array<std::string_view, 12> context_events{
+    "platform store out of reach",
+    "platform store reached again",
+    "store era changed",
+    "configuration in force",
+    "configuration behind in store",
+    "configuration caught up in store",
+    "settings loaded",
+    "draining",
+    "stopped",
+    "started",
+    "entry not heard any more",
+    "backend servers listed"};
 /// Events about one server; they are context only if the request was sent to that server.
 constexpr std::array<std::string_view, 2> server_events{"backend server changed",
                                                         "backend server gone"};
--- a/src/core/usage_account.cpp
+++ b/src/core/usage_account.cpp
@@ -30,18 +30,33 @@
 }
 
 void usage_account::mark_written(usage_hour_number hour, const usage_table& rows,
-                                 usage_hour_number current)
+                                 time_point now)
 {
     const auto found = this->hours.find(hour);
-    if (found == this->hours.end())
+    if (found != this->hours.end())
     {
-        return;
+        found->second.written_rows = rows;
+        found->second.written_at = now;
     }
-    found->second.written_rows = rows;
-    if (hour < current && found->second.rows == rows)
+}
+
+void usage_account::mark_unwritten()
+{
+    for (auto& [hour, totals] : this->hours)
     {
-        this->hours.erase(found);
+        totals.written_rows.clear();
     }
 }
 
+void usage_account::remove_written(usage_hour_number current, time_point now)
+{
+    std::erase_if(this->hours,
+                  [current, now](const auto& item)
+                  {
+                      const auto& [hour, totals] = item;
+                      return hour < current && totals.rows == totals.written_rows &&
+                             now - totals.written_at >= written_hour_memory;
+                  });
+}
+
 } // namespace agateseam
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -108,22 +108,8 @@
     void on_configuration(std::shared_ptr<const routing_table> table,
                           std::string document) override
     {
-        const std::uint64_t own_version =
-            this->state.routing ? this->state.routing->version() : 0;
-        if (table->version() <= own_version)
-        {
-            return;
-        }
-        const time_point now = boot_now();
-        this->state.routing = std::move(table);
-        this->state.routing_document = std::move(document);
-        this->state.routing_since = now;
-        this->state.ledger.set_routing(*this->state.routing, now);
-        this->publish_servers();
-        this->state.digest_due.notify();
-        log_line(log_level::info, "configuration in force",
-                 {{"version", static_cast<std::int64_t>(this->state.routing->version())},
-                  {"before", static_cast<std::int64_t>(own_version)}});
+        this->note_stored_version(table->version());
+        this->take_configuration(std::move(table), std::move(document));
     }
 
     void on_servers(std::vector<backend_server> servers, bool after_outage) override
@@ -173,6 +159,15 @@
                  {{"reason", reason}});
     }
 
+    void on_store_era_changed(std::uint64_t before, std::uint64_t era) override
+    {
+        log_line(log_level::warning, "store era changed",
+                 {{"before", static_cast<std::int64_t>(before)},
+                  {"era", static_cast<std::int64_t>(era)}});
+        this->state.counters.add("agateseam_store_eras_total");
+        this->state.usage.mark_unwritten();
+    }
+
     [[nodiscard]] store_watch_plan plan_watch() const override
     {
         store_watch_plan plan =
@@ -188,6 +183,46 @@
     }
 
   private:
+    /// Puts a configuration in force unless it is older than the present one.
+    void take_configuration(std::shared_ptr<const routing_table> table,
+                            std::string document)
+    {
+        const std::uint64_t own_version =
+            this->state.routing ? this->state.routing->version() : 0;
+        if (table->version() <= own_version)
+        {
+            return;
+        }
+        const time_point now = boot_now();
+        this->state.routing = std::move(table);
+        this->state.routing_document = std::move(document);
+        this->state.routing_since = now;
+        this->state.ledger.set_routing(*this->state.routing, now);
+        this->publish_servers();
+        this->state.digest_due.notify();
+        log_line(log_level::info, "configuration in force",
+                 {{"version", static_cast<std::int64_t>(this->state.routing->version())},
+                  {"before", static_cast<std::int64_t>(own_version)}});
+    }
+
+    /// Logs when the store's configuration is older than the one in force, as after it
+    /// came back from a copy, and when it has caught up.
+    void note_stored_version(std::uint64_t stored)
+    {
+        const std::uint64_t in_force =
+            this->state.routing ? this->state.routing->version() : 0;
+        const bool is_behind = stored < in_force;
+        if (is_behind != this->stored_version_is_behind)
+        {
+            log_line(is_behind ? log_level::warning : log_level::info,
+                     is_behind ? "configuration behind in store"
+                               : "configuration caught up in store",
+                     {{"stored", static_cast<std::int64_t>(stored)},
+                      {"in_force", static_cast<std::int64_t>(in_force)}});
+        }
+        this->stored_version_is_behind = is_behind;
+    }
+
     result<void> listen(const std::string& address, caller_handler& handler)
     {
         auto listener = caller_listener::create(this->loop, address, handler);
@@ -293,7 +328,7 @@
             log_error("configuration of entry ignored", table.error());
             co_return;
         }
-        this->on_configuration(std::move(*table), std::move(*document));
+        this->take_configuration(std::move(*table), std::move(*document));
     }
 
     task<void> handle_signals()
@@ -430,6 +465,7 @@
     asio::basic_signal_set<loop_executor> signals;
     bool servers_known = false;
     bool publication_scheduled = false;
+    bool stored_version_is_behind = false;
     std::size_t requests_cut = 0;
     time_point last_configuration_fetch_at{};
 };
--- a/src/gateway/platform_link.hpp
+++ b/src/gateway/platform_link.hpp
@@ -42,6 +42,10 @@
     virtual void on_entries(std::vector<registered_entry> entries) = 0;
     virtual void on_store_reachability_changed(bool reached, std::string_view reason) = 0;
 
+    /// \brief Called when the store has come back from a copy, which lacks what was
+    /// written after it.
+    virtual void on_store_era_changed(std::uint64_t before, std::uint64_t era) = 0;
+
     /// \brief Returns whether this entry should watch the platform's store now, and
     /// otherwise the addresses of the entries to ask.
     [[nodiscard]] virtual store_watch_plan plan_watch() const = 0;
--- a/src/gateway/usage_recorder.cpp
+++ b/src/gateway/usage_recorder.cpp
@@ -55,7 +55,12 @@
             co_return;
         }
         state.counters.add("agateseam_usage_writes_total");
-        state.usage.mark_written(hour, rows, current_hour());
+        state.usage.mark_written(hour, rows, boot_now());
+    }
+    if (state.store_reachable)
+    {
+        // Without the store, a restoration of it wouldn't have been heard of yet.
+        state.usage.remove_written(current_hour(), boot_now());
     }
 }
 
--- a/tests/unit/request_explanation_test.cpp
+++ b/tests/unit/request_explanation_test.cpp
@@ -129,3 +129,17 @@
     CHECK(incomplete.explain()->outcome.empty());
     CHECK(incomplete.explain()->cause.starts_with("its last line is missing"));
 }
+
+TEST_CASE("a restored store is context of the requests in its time")
+{
+    request_explainer explainer("q1");
+    explainer.add_line(log_line_text(9'000'000, "e1", "store era changed"));
+    explainer.add_line(log_line_text(9'000'100, "e1", "configuration behind in store"));
+    explainer.add_line(log_line_text(9'500'000, "e1", "request", answer_lost_fields));
+    explainer.add_line(log_line_text(9'500'100, "e2", "store era changed"));
+    const auto explanation = explainer.explain();
+    REQUIRE(explanation);
+    CHECK(events_of(*explanation) ==
+          std::vector<std::string>{"store era changed", "configuration behind in store",
+                                   "request"});
+}
