A restored list brings back no server that was leaving or gone

The list of a restored store is some seconds old. A server that reported since that it leaves, or that was removed, stood there as ready, and entries sent it new work until that was written again, also later than it may still get any.

A list after an outage may be such a copy. In it a server that was leaving stays leaving, an incarnation before the known one is ignored, and one that was gone is withheld for the 1.8 s for which missing ones are kept; what a watch then reports counts as before. The list's flag for an outage serves for both, as no server takes back that it leaves: a second flag through lists and relays was ruled out.

Before: requests reach both servers within 1.2 s after the store's return. After: none until 2.5 s after it, over which their change is written again (tests/site/drill_test.py, test_servers_that_left_in_the_lost_seconds_...).

--- a/include/agateseam/backend_directory.hpp
+++ b/include/agateseam/backend_directory.hpp
@@ -48,6 +48,10 @@
 /// list would leave no server. So a record that went missing while the list was out of
 /// reach is kept that long, unless its server was leaving. Any other missing record is
 /// dropped at once, since its server may already be replaced.
+///
+/// After an outage the list may also come from a copy that is some seconds old: a server
+/// that was leaving then still is, and one that was gone gets no work for `outage_grace`,
+/// in which its removal is usually repeated.
 class backend_directory
 {
   public:
@@ -55,6 +59,8 @@
     /// documentation says about two seconds, and allows work to be sent for at most that
     /// long to a server that is gone.
     static constexpr std::chrono::milliseconds outage_grace{1'800};
+    /// How long a server that is gone is remembered, many times the age of a copy.
+    static constexpr std::chrono::seconds departure_memory{60};
 
     /// \brief Adds or replaces a server.
     void put(backend_server server);
@@ -69,11 +75,12 @@
     /// \param after_outage whether the list was out of reach until now.
     void replace(std::vector<backend_server> servers, bool after_outage, time_point now);
 
-    /// \brief Drops servers that were kept for `outage_grace` and did not come back.
-    /// \returns whether any server was dropped.
+    /// \brief Drops servers that were kept for `outage_grace` and did not come back, and
+    /// releases those that did and were withheld as long.
+    /// \returns whether any server was dropped or released.
     bool expire(time_point now);
 
-    /// \brief Returns the servers that aren't leaving, by service.
+    /// \brief Returns the servers that are neither leaving nor withheld, by service.
     [[nodiscard]] std::shared_ptr<const backends_by_service> usable() const;
 
     /// \brief Returns all known servers, including those that are leaving.
@@ -86,14 +93,24 @@
     struct server_record;
     static bool keep_after_outage(server_record& record, bool after_outage,
                                   time_point now);
+    void put_from_copy(backend_server server, time_point now);
+    void note_departure(const backend_server& server, time_point now);
 
     struct server_record
     {
         std::shared_ptr<const backend_server> server;
-        time_point kept_until{}; ///< Zero unless the server is missing from the list.
+        time_point kept_until{};     ///< Zero unless the server is missing from the list.
+        time_point withheld_until{}; ///< Zero unless the server was gone before.
+    };
+
+    struct departure
+    {
+        std::uint64_t born_ms = 0;
+        time_point at{};
     };
 
     std::map<std::string, server_record, std::less<>> records;
+    std::map<std::string, departure, std::less<>> departures;
 };
 
 } // namespace agateseam
--- a/src/core/backend_directory.cpp
+++ b/src/core/backend_directory.cpp
@@ -8,8 +8,41 @@
 void backend_directory::put(backend_server server)
 {
     server_record& record = this->records[server.id];
+    this->departures.erase(server.id);
     record.server = std::make_shared<const backend_server>(std::move(server));
     record.kept_until = {};
+    record.withheld_until = {};
+}
+
+/// Adds or replaces a server that a list names which may be older than what is known.
+void backend_directory::put_from_copy(backend_server server, time_point now)
+{
+    time_point withheld_until{};
+    const auto known = this->records.find(server.id);
+    const auto departed = this->departures.find(server.id);
+    if (known != this->records.end() && server.born_ms != 0 &&
+        server.born_ms < known->second.server->born_ms)
+    {
+        return; // The copy is older than the server's restart.
+    }
+    if (known != this->records.end() && known->second.server->born_ms == server.born_ms)
+    {
+        server.leaving |= known->second.server->leaving;
+        withheld_until = known->second.withheld_until;
+    }
+    else if (departed != this->departures.end() &&
+             server.born_ms <= departed->second.born_ms)
+    {
+        withheld_until = now + outage_grace;
+    }
+    const std::string id = server.id;
+    this->put(std::move(server));
+    this->records[id].withheld_until = withheld_until;
+}
+
+void backend_directory::note_departure(const backend_server& server, time_point now)
+{
+    this->departures[server.id] = {server.born_ms, now};
 }
 
 void backend_directory::remove(std::string_view id, bool after_outage, time_point now)
@@ -18,6 +51,7 @@
     if (found != this->records.end() &&
         !keep_after_outage(found->second, after_outage, now))
     {
+        this->note_departure(*found->second.server, now);
         this->records.erase(found);
     }
 }
@@ -26,7 +60,7 @@
 bool backend_directory::keep_after_outage(server_record& record, bool after_outage,
                                           time_point now)
 {
-    if (!after_outage || record.server->leaving)
+    if (!after_outage || record.server->leaving || record.withheld_until != time_point{})
     {
         return false;
     }
@@ -44,26 +78,50 @@
     for (backend_server& server : servers)
     {
         listed.insert(server.id);
+        if (after_outage)
+        {
+            this->put_from_copy(std::move(server), now);
+            continue;
+        }
         this->put(std::move(server));
     }
     for (auto record = this->records.begin(); record != this->records.end();)
     {
-        const bool keep = listed.contains(record->first) ||
-                          keep_after_outage(record->second, after_outage, now);
-        record = keep ? std::next(record) : this->records.erase(record);
+        if (listed.contains(record->first) ||
+            keep_after_outage(record->second, after_outage, now))
+        {
+            ++record;
+            continue;
+        }
+        this->note_departure(*record->second.server, now);
+        record = this->records.erase(record);
     }
 }
 
 bool backend_directory::expire(time_point now)
 {
-    const auto dropped =
-        std::erase_if(this->records,
-                      [now](const auto& item)
-                      {
-                          const time_point kept_until = item.second.kept_until;
-                          return kept_until != time_point{} && kept_until <= now;
-                      });
-    return dropped > 0;
+    const auto is_over = [now](time_point until)
+    { return until != time_point{} && until <= now; };
+    bool changed = false;
+    for (auto record = this->records.begin(); record != this->records.end();)
+    {
+        if (is_over(record->second.kept_until))
+        {
+            this->note_departure(*record->second.server, now);
+            record = this->records.erase(record);
+            changed = true;
+            continue;
+        }
+        if (is_over(record->second.withheld_until))
+        {
+            record->second.withheld_until = {};
+            changed = true;
+        }
+        ++record;
+    }
+    std::erase_if(this->departures, [now](const auto& item)
+                  { return now - item.second.at >= departure_memory; });
+    return changed;
 }
 
 std::shared_ptr<const backends_by_service> backend_directory::usable() const
@@ -71,7 +129,7 @@
     auto list = std::make_shared<backends_by_service>();
     for (const auto& [id, record] : this->records)
     {
-        if (!record.server->leaving)
+        if (!record.server->leaving && record.withheld_until == time_point{})
         {
             (*list)[record.server->service].push_back(record.server);
         }
--- a/tests/site/drill_test.py
+++ b/tests/site/drill_test.py
@@ -204,6 +204,29 @@
         check(len(gone.runs) == runs_before)
 
 
+def test_servers_that_left_in_the_lost_seconds_get_no_new_work(build, directory):
+    """The copy names them as ready until the replicas have written it again."""
+    site = Site(build, directory, entries=2)
+    leaving, gone, _ = [site.add_replica("plain") for _ in range(3)]
+    site.configure(1)
+    with site.start():
+        wait_for(lambda: all_registered(site), "all entries to be registered")
+        copy = copy_of(site)
+        site.publish_replica(leaving, "draining")
+        site.run_on_loop(site.store.remove, "servers", gone.id)
+        for replica in (leaving, gone):
+            wait_for(lambda replica=replica: avoids(site, replica, range(2)),
+                     "the entries to learn of it")
+        drill(site, copy=copy)
+        returned_at = time.monotonic()
+        while time.monotonic() < returned_at + 1.2:
+            check(avoids(site, leaving, range(2)) and avoids(site, gone, range(2)))
+        site.publish_replica(leaving, "draining")
+        site.run_on_loop(site.store.remove, "servers", gone.id)
+        while time.monotonic() < returned_at + 2.5:
+            check(avoids(site, leaving, range(2)) and avoids(site, gone, range(2)))
+
+
 def test_two_drills_in_a_row(build, directory):
     with start_registered(build, directory) as site:
         copy = copy_of(site)
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -79,3 +79,77 @@
     directory.remove("a", true, start);
     CHECK(directory.size() == 0);
 }
+
+TEST_CASE("a list from a copy doesn't bring back a server that was leaving")
+{
+    backend_directory directory;
+    directory.put(make_server("a"));
+    directory.put(make_server("a", true));
+    directory.replace({make_server("a")}, true, start);
+    CHECK(usable_count(directory) == 0);
+    CHECK(!directory.expire(start + 10s));
+    CHECK(usable_count(directory) == 0);
+    // What the server says itself after the list counts.
+    directory.put(make_server("a"));
+    CHECK(usable_count(directory) == 1);
+}
+
+TEST_CASE(
+    "a server that was gone and that a copy still has is withheld for the grace period")
+{
+    backend_directory directory;
+    directory.put(make_server("a"));
+    directory.remove("a", false, start);
+    directory.replace({make_server("a")}, true, start + 1s);
+    CHECK(usable_count(directory) == 0);
+    // Another list doesn't release it.
+    directory.replace({make_server("a")}, true, start + 1500ms);
+    CHECK(usable_count(directory) == 0);
+    CHECK(!directory.expire(start + 1s + backend_directory::outage_grace - 1ms));
+    CHECK(directory.expire(start + 1s + backend_directory::outage_grace));
+    CHECK(usable_count(directory) == 1);
+}
+
+TEST_CASE("a server that is gone again while it is withheld is dropped")
+{
+    backend_directory directory;
+    directory.put(make_server("a"));
+    directory.remove("a", false, start);
+    directory.replace({make_server("a")}, true, start + 1s);
+    directory.remove("a", true, start + 2s);
+    CHECK(directory.size() == 0);
+    CHECK(!directory.expire(start + 5s));
+}
+
+TEST_CASE("a copy from before a server's restart doesn't replace the new incarnation")
+{
+    backend_directory directory;
+    backend_server first = make_server("a");
+    first.born_ms = 100;
+    backend_server second = make_server("a");
+    second.born_ms = 200;
+    second.address = "10.0.0.9:80";
+    directory.put(first);
+    directory.put(second);
+    directory.replace({first}, true, start);
+    REQUIRE(directory.all().size() == 1);
+    CHECK(directory.all().front().born_ms == 200);
+    // A later incarnation than the one that left is new.
+    directory.remove("a", false, start);
+    directory.replace({second}, true, start + 1s);
+    CHECK(usable_count(directory) == 0);
+    backend_server third = second;
+    third.born_ms = 300;
+    directory.replace({third}, true, start + 2s);
+    CHECK(usable_count(directory) == 1);
+}
+
+TEST_CASE("a server that left long ago is listed as any other")
+{
+    backend_directory directory;
+    directory.put(make_server("a"));
+    directory.remove("a", false, start);
+    CHECK(!directory.expire(start + backend_directory::departure_memory));
+    directory.replace({make_server("a")}, true, start + 70s);
+    CHECK(usable_count(directory) == 1);
+}
