A refusal of the store that names no era counts as an outage

Once an era was known, an answer without one was dropped as an older era's, also a 503 or 429, which something before the store may send. The outage then wasn't noticed, and servers that lapsed in it were dropped at once.

--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -106,6 +106,7 @@
         self.oldest_revision = 0
         self.changed = asyncio.Event()
         self.mode = "up"  # or: busy, silent, reset
+        self.refuses_with_era = True
         self.calls = []
         self.journal = []  # (time, revision, kind, name, object or None) of each change
         # A function of a request that returns for how long its response is held back.
@@ -195,7 +196,8 @@
             return False
         era = self.era
         if self.mode == "busy":
-            writer.write(response_bytes(503, {}, [("Store-Era", era)]))
+            names_era = [("Store-Era", era)] if self.refuses_with_era else []
+            writer.write(response_bytes(503, {}, names_era))
             return True
         status, body = await self.handle_call(request)
         if self.mode == "silent" or era != self.era:
--- a/tests/site/drill_test.py
+++ b/tests/site/drill_test.py
@@ -204,6 +204,21 @@
         check(len(gone.runs) == runs_before)
 
 
+def test_a_refusal_that_names_no_era_counts_as_an_outage(build, directory):
+    """Servers whose objects lapse meanwhile are kept."""
+    with start_registered(build, directory) as site:
+        site.store.refuses_with_era = False
+        site.store.mode = "busy"
+        site.run_on_loop(site.store.wake_watches)
+        time.sleep(1.2)
+        for replica in site.replicas_of("plain"):
+            site.run_on_loop(site.store.remove, "servers", replica.id)
+        site.store.mode = "up"
+        returned_at = time.monotonic()
+        while time.monotonic() < returned_at + 1.2:
+            check(all(serves(site, "/safe/a", entry) for entry in range(2)))
+
+
 def test_servers_that_left_in_the_lost_seconds_get_no_new_work(build, directory):
     """The copy names them as ready until the replicas have written it again."""
     site = Site(build, directory, entries=2)
