--- a/include/agateseam/backend_directory.hpp
+++ b/include/agateseam/backend_directory.hpp
@@ -51,6 +51,10 @@
 ///
 /// A server that leaves may say so only in its replies, while the list calls it ready or
 /// is out of reach. Its word holds for that incarnation, whatever the list says later.
+///
+/// After an outage the list may also come from a copy that is some seconds old: a server
+/// that was leaving then still is, and one that was gone gets no work for `outage_grace`,
+/// in which its removal is usually repeated.
 class backend_directory
 {
   public:
@@ -58,6 +62,8 @@
     /// documentation says about two seconds, and allows work to be sent for at most that
     /// long to a server that is gone.
     static constexpr std::chrono::milliseconds outage_grace{1'800};
+    /// How long a server that is gone is remembered, many times the age of a copy.
+    static constexpr std::chrono::seconds departure_memory{60};
 
     /// How long after its last appearance on the list an incarnation that said it leaves
     /// is remembered. A list from a relay or a stale read may still name it.
@@ -84,11 +90,12 @@
     /// itself that it leaves.
     [[nodiscard]] bool said_leaving(const backend_server& server) const;
 
-    /// \brief Drops servers that were kept for `outage_grace` and did not come back.
-    /// \returns whether any server was dropped.
+    /// \brief Drops servers that were kept for `outage_grace` and did not come back, and
+    /// releases those that did and were withheld as long.
+    /// \returns whether any server was dropped or released.
     bool expire(time_point now);
 
-    /// \brief Returns the servers that aren't leaving, by service.
+    /// \brief Returns the servers that are neither leaving nor withheld, by service.
     [[nodiscard]] std::shared_ptr<const backends_by_service> usable() const;
 
     /// \brief Returns all known servers, including those that are leaving.
@@ -101,11 +108,20 @@
     struct server_record;
     bool keep_after_outage(server_record& record, bool after_outage,
                            time_point now) const;
+    void put_from_copy(backend_server server, time_point now);
+    void note_departure(const backend_server& server, time_point now);
 
     struct server_record
     {
         std::shared_ptr<const backend_server> server;
-        time_point kept_until{}; ///< Zero unless the server is missing from the list.
+        time_point kept_until{};     ///< Zero unless the server is missing from the list.
+        time_point withheld_until{}; ///< Zero unless the server was gone before.
+    };
+
+    struct departure
+    {
+        std::uint64_t born_ms = 0;
+        time_point at{};
     };
 
     /// The newest incarnation under an id that said it leaves.
@@ -117,6 +133,7 @@
 
     std::map<std::string, server_record, std::less<>> records;
     std::map<std::string, leaving_word, std::less<>> leaving_words;
+    std::map<std::string, departure, std::less<>> departures;
 };
 
 } // namespace agateseam
