--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -305,7 +305,7 @@
             self.arrivals_in_rest.append((since_s, request.target))
         return response_bytes(503, {}, [("Agateseam-Not-Executed", "1"),
                                         ("Retry-After", f"{self.rest_s - since_s:.3f}"),
-                                        *self.notices()])
+                                        *self.notices()] + self.id_headers(request))
 
     def server_spec(self, state="ready"):
         spec = {"service": self.service, "address": self.address, "zone": self.zone,
--- a/tests/site/leaving_test.py
+++ b/tests/site/leaving_test.py
@@ -302,9 +302,10 @@
 
 
 def refuse_with(retry_after):
-    async def refuse(replica, _request, _reader, writer):
+    async def refuse(replica, request, _reader, writer):
         writer.write(response_bytes(503, {}, [("Agateseam-Not-Executed", "1"),
-                                              ("Retry-After", retry_after)]))
+                                              ("Retry-After", retry_after)]
+                                    + replica.id_headers(request)))
         return True
     return refuse
 
