A silent stream is ended only when another server has reserved a place for the rest

Cause: the step before asked only whether another server counted as healthy, not whether it had a place.

Change: the place is reserved first (place_finder::find_now), then the silent server is closed; if there is none, the wait for the server's bytes goes on. The wait no longer closes the connection at its end (upstream_connection::wait_for_input).

Before: path_test's new test fails (the stream began twice at the slow server and was cut).

--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -23,8 +23,8 @@
 /// A resumable stream that brings no bytes for this many times the gap target of its
 /// route is resumed on another server, as soon as one may take it.
 constexpr int max_gap_target_factor = 4;
-/// A silent stream that no other server may take yet is checked again after this time.
-constexpr auto silence_poll_interval = 50ms;
+/// A place for the rest of a silent stream is looked for at this interval.
+constexpr auto silence_poll_interval = 100ms;
 /// Maximum attempts to place and start one request. Once the request has been sent, each
 /// further attempt also uses the repeat budget.
 constexpr std::uint32_t max_start_attempts = 3;
@@ -68,6 +68,10 @@
             if (decision != retry_decision::try_another)
             {
                 this->release_kv_cache(std::exchange(this->unused_kv_source, ""));
+                if (this->replacement)
+                {
+                    this->place_search.release(*this->replacement);
+                }
                 co_await this->finish(decision);
                 co_return;
             }
@@ -97,7 +101,11 @@
     task<retry_decision> start_attempt()
     {
         this->scope->step = "decode place";
-        auto place = co_await this->place_search.find();
+        auto place = std::move(this->replacement);
+        if (!place)
+        {
+            place = co_await this->place_search.find();
+        }
         if (!place)
         {
             co_return this->is_caller_gone() ? retry_decision::relay
@@ -409,62 +417,49 @@
         }
     }
 
-    /// Reads the next bytes of the stream.
+    /// Reads the next bytes of the stream. A silent server is given up only when another
+    /// one has a place for the rest; until then, only this one can bring it.
     task<io_outcome> read_events(const decode_place& place, upstream_connection& link)
     {
         const service_route& route = *this->scope->route;
-        const auto is_active = std::make_shared<bool>(true);
-        deadline_timer timer(*this->state->loop);
-        if (route.resumable && route.gap_target > milliseconds(0))
-        {
-            this->arm_silence_timer(timer, place, link.shared_from_this(), is_active,
-                                    route.gap_target * max_gap_target_factor);
+        duration wait = route.gap_target * max_gap_target_factor;
+        const bool may_be_resumed = route.resumable && wait > duration::zero();
+        while (may_be_resumed &&
+               !co_await link.wait_for_input(
+                   std::min(this->scope->deadline, boot_now() + wait)) &&
+               boot_now() < this->scope->deadline)
+        {
+            if (co_await this->reserve_replacement(place))
+            {
+                link.close();
+            }
+            wait = silence_poll_interval;
         }
-        const io_outcome end = co_await link.read_body(this->scope->deadline);
-        *is_active = false;
-        co_return end;
-    }
-
-    /// Ends a silent stream as soon as another server may go on with it. Until then, only
-    /// this server can bring the caller the rest.
-    void arm_silence_timer(deadline_timer& timer, const decode_place& place,
-                           std::shared_ptr<upstream_connection> link,
-                           std::shared_ptr<const bool> is_active, duration after)
-    {
-        timer.arm(after,
-                  [this, &timer, &place, link, is_active]
-                  {
-                      if (!*is_active)
-                      {
-                          return;
-                      }
-                      if (this->may_resume_elsewhere(place))
-                      {
-                          this->has_reserved_repeat = true;
-                          link->close();
-                          return;
-                      }
-                      this->arm_silence_timer(timer, place, link, is_active,
-                                              silence_poll_interval);
-                  });
+        co_return co_await link.read_body(this->scope->deadline);
     }
 
-    /// Takes a repeat from the budget if it can be used.
-    [[nodiscard]] bool may_resume_elsewhere(const decode_place& place)
+    /// Reserves a place for the rest of a silent stream, and takes a repeat for it.
+    task<bool> reserve_replacement(const decode_place& place)
     {
-        const time_point now = boot_now();
-        const auto& servers = this->engines->placement.decode_servers();
-        const bool has_other_server =
-            std::any_of(servers.begin(), servers.end(),
-                        [&](const auto& server)
-                        {
-                            return server->id != place.chosen_server().id &&
-                                   this->state->health.allowed(server->id, now);
-                        });
-        return has_other_server &&
-               this->scope->possible_runs + 1 < this->scope->route->max_attempts &&
-               this->time_remaining() > min_model_attempt_time &&
-               this->state->ledger.try_take_repeat(this->scope->service, now);
+        if (this->scope->possible_runs + 1 >= this->scope->route->max_attempts ||
+            this->time_remaining() <= min_model_attempt_time)
+        {
+            co_return false;
+        }
+        auto reserved = co_await this->place_search.find_now(place.chosen_server().id);
+        if (!reserved)
+        {
+            co_return false;
+        }
+        if (this->is_caller_gone() ||
+            !this->state->ledger.try_take_repeat(this->scope->service, boot_now()))
+        {
+            this->place_search.release(*reserved);
+            co_return false;
+        }
+        this->has_reserved_repeat = true;
+        this->replacement = std::move(reserved);
+        co_return true;
     }
 
     /// Decides how the request goes on after an attempt without a complete answer.
@@ -565,6 +560,7 @@
     std::optional<std::int64_t> last_event_number;
     std::uint32_t requests_sent = 0;  ///< Requests sent to decode servers.
     bool has_reserved_repeat = false; ///< Taken before a silent stream was ended.
+    std::unique_ptr<decode_place> replacement; ///< For the rest of a silent stream.
     std::uint32_t refusals = 0;
     /// "IP:port/handle" of the prefilled prompt of a withheld attempt; may be empty.
     std::string unused_kv_source;
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -185,14 +185,40 @@
               {"reason", reason}});
 }
 
-std::shared_ptr<const backend_server> place_finder::choose(time_point now)
+task<std::unique_ptr<decode_place>> place_finder::find_now(std::string excluded)
+{
+    const auto server = this->choose(boot_now(), excluded);
+    if (!server)
+    {
+        co_return nullptr;
+    }
+    this->state->health.record_choice(server->id, boot_now());
+    auto place =
+        std::make_unique<decode_place>(*this->engines, server, this->expected_memory);
+    const bool has_place = co_await this->reserve(*place);
+    if (has_place && this->state->accepts_work(*server))
+    {
+        this->reserved_at = boot_now();
+        this->log_reserved(*server);
+        co_return place;
+    }
+    if (has_place)
+    {
+        this->release(*place);
+    }
+    this->engines->placement.record_refusal(server->id, boot_now());
+    co_return nullptr;
+}
+
+std::shared_ptr<const backend_server> place_finder::choose(time_point now,
+                                                           std::string_view excluded)
 {
     return this->engines->placement.choose_decode(
         this->expected_memory, this->state->settings.failure_domain, now,
         this->state->random(),
-        [this, now](const std::string& id)
+        [this, now, excluded](const std::string& id)
         {
-            return this->state->health.allowed(id, now) &&
+            return id != excluded && this->state->health.allowed(id, now) &&
                    this->state->health.return_delay_left(id, now) <= duration::zero();
         });
 }
--- a/src/gateway/place_finder.hpp
+++ b/src/gateway/place_finder.hpp
@@ -27,6 +27,11 @@
     /// maximum waiting time has passed.
     task<std::unique_ptr<decode_place>> find();
 
+    /// \brief Reserves memory at a decode server that has it now, without waiting.
+    /// \param excluded a server that isn't considered.
+    /// \returns null when there is none.
+    task<std::unique_ptr<decode_place>> find_now(std::string excluded);
+
     /// \brief Releases an unused reservation at its server.
     void release(decode_place& place);
 
@@ -41,7 +46,8 @@
     }
 
   private:
-    [[nodiscard]] std::shared_ptr<const backend_server> choose(time_point now);
+    [[nodiscard]] std::shared_ptr<const backend_server>
+    choose(time_point now, std::string_view excluded = {});
     [[nodiscard]] time_point max_wait_end() const;
     [[nodiscard]] std::int64_t initial_tokens() const;
     task<bool> reserve(decode_place& place);
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -240,6 +240,26 @@
     }
 }
 
+task<bool> upstream_connection::wait_for_input(time_point until)
+{
+    // While the request is being written, a cancellation would end that too.
+    if (this->closed || this->writing || !this->input.empty())
+    {
+        co_return true;
+    }
+    const auto self = this->shared_from_this();
+    this->read_timer.arm(std::max<duration>(until - boot_now(), duration::zero()),
+                         [self]
+                         {
+                             io_error ignored; // The wait ends by itself without it.
+                             self->socket.cancel(ignored);
+                         });
+    io_error fault;
+    co_await this->socket.async_wait(asio::socket_base::wait_read, store_error_in(fault));
+    this->read_timer.disarm();
+    co_return !fault || this->closed;
+}
+
 task<io_outcome> upstream_connection::read_body(time_point deadline)
 {
     if (this->input.empty())
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -58,6 +58,11 @@
     read_head(time_point deadline,
               const std::function<response_match(const message_head&)>& match);
 
+    /// \brief Waits until there is something to read; the end of the wait leaves the
+    /// connection as it is.
+    /// \returns false when nothing has arrived by `until`.
+    task<bool> wait_for_input(time_point until);
+
     /// \brief Reads more of the body. `take_body` returns it, `done` tells whether it is
     /// complete.
     task<io_outcome> read_body(time_point deadline);
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -252,6 +252,17 @@
         check(sum(len(replica.runs) for replica in site.replicas_of("model", "decode")) <= 2)
 
 
+def test_a_silent_stream_is_kept_while_no_other_server_has_a_place(build, directory):
+    """Guards against a stream that is cut for its server's silence before another server has
+    promised a place for the rest."""
+    with start_site(build, directory) as site:
+        slow, full = site.replicas_of("model", "decode")
+        slow.event_delay_s = 0.6  # The route's gap target is 100 ms, its time 3 s.
+        full.capacity = 0
+        check_complete_stream(site.request_stream("/resume/a"))
+        check(len(slow.runs) == 1 and not full.runs, slow.runs, full.runs)
+
+
 def test_a_lost_answer_ends_an_unsafe_request_as_unknown(build, directory):
     async def run_and_reset(replica, request, _reader, writer):
         replica.runs.append(request.id)
