A request that crashes servers is known when it comes again, and kept from them

Cause: the crashing part's, in path, caller and body. part_quarantine read the parts of prompts only; a plain request has none, and each client attempt has an id of its own, so no entry could tell that a request had come before. Class: a fault whose cause travels with requests is judged where it shows. Ruled out: our own repeats as the cause (7 of 46 lost requests were sent twice).

Change: part_quarantine takes a request's own keys beside the parts of its prompt: a hash of method, target, workspace and body, and for streams one more with the shared parts. Plain calls record what crashed and what answered, and are kept from servers before each send. A request's block is its own, never grouped with another's; requests in the same crashes are all blocked, with trials after 0.5 s and 5 s, one at a time over the fleet by a turn claimed in the store. What was in all crashes comes first, of that what the fewest requests had; a block that another explains is lifted. Reports name the requests that had a part (digest format 6). A trial needs a usable server.

Found on the way: two entries could both claim the trial of one block, as the store's answer to the second looked like its own write; a write now says whether it was this one.

Failed tries: the body's key before all others (bodies that all streams share were blocked at a cold start); the fewest events as the first criterion; simultaneous crashes counted each for such keys.

--- a/include/agateseam/part_quarantine.hpp
+++ b/include/agateseam/part_quarantine.hpp
@@ -1,5 +1,5 @@
-/// Finds the parts of prompts that crash model servers, from evidence that the entries
-/// share, and blocks requests that have them.
+/// Finds the requests and the parts of prompts that crash servers, from evidence that the
+/// entries share, and blocks requests that have them.
 #pragma once
 
 #include <cstdint>
@@ -16,6 +16,32 @@
 namespace agateseam
 {
 
+/// What a part of a request is that may be the cause when a server ends under it.
+enum class part_kind : std::uint8_t
+{
+    prompt_part,  ///< A part of the prompt, which other requests may have too.
+    request,      ///< The method, target, workspace and body.
+    whole_request ///< These and the shared parts of the prompt.
+};
+
+/// \brief What may be the cause when a server ends under a request.
+struct request_parts
+{
+    /// The request's own keys, narrowest first, then the parts of its prompt.
+    std::vector<name_key> keys;
+    std::size_t own_keys = 0; ///< 1 without a prompt, 2 with one.
+
+    [[nodiscard]] static request_parts create(name_key request,
+                                              std::span<const name_key> prompt_parts);
+
+    [[nodiscard]] part_kind kind_of(std::size_t index) const noexcept
+    {
+        return index >= this->own_keys ? part_kind::prompt_part
+               : index == 0            ? part_kind::whole_request
+                                       : part_kind::request;
+    }
+};
+
 /// \brief A server ended before it had answered a request with this part for some time.
 struct crash_report
 {
@@ -25,6 +51,10 @@
     bool without_event = false; ///< The request had received nothing of its answer.
     bool cleared = false;       ///< An answer began on the part after the crash.
     bool had_answers = false;   ///< Answers began on the part before the crash.
+    part_kind kind = part_kind::prompt_part;
+    /// Some of the requests that had it, by their keys of the kind `whole_request`; empty
+    /// for such a key itself.
+    std::vector<name_key> requests;
 };
 
 /// \brief A block of the requests that have all of some parts. Of two states, the one
@@ -61,12 +91,16 @@
 ///
 /// A crash implicates the parts of the requests that had received no event of their
 /// answers at that server; if there is none, or all their parts are cleared, those that
-/// had received the first ones just before. A part on which an answer begins afterwards
-/// is cleared. Parts that are implicated in `min_crashes` crashes and not cleared since
-/// are blocked, unless other blocked parts explain these crashes: parts without any
-/// answer before come first. Parts that are implicated in the same crashes can't be told
-/// apart, so only requests with all of them are blocked; others go on, and the parts on
-/// which they succeed leave the block.
+/// had received the first ones just before. Besides the parts of its prompt, it
+/// implicates the request itself, so that one that comes again is recognized at any
+/// entry, with or without a prompt. A part on which an answer begins afterwards is
+/// cleared. Parts that are implicated in `min_crashes` crashes and not cleared since are
+/// blocked, unless other blocked parts explain these crashes: parts without any answer
+/// before come first. Parts that are implicated in the same crashes can't be told apart,
+/// so only requests with all of them are blocked; others go on, and the parts on which
+/// they succeed leave the block. Requests that can't be told apart are blocked each by
+/// itself, as no request is both. Their trials come soon, one after the other; as
+/// soon as one of them explains a crash that another doesn't, the other is free.
 ///
 /// Reports and blocks only ever grow (cleared, lifted, higher numbers), so copies that
 /// are merged in any order, and more than once, agree. A block ends by a trial: one
@@ -93,8 +127,16 @@
     static constexpr std::chrono::seconds known_part_trial_delay{5};
     /// Crashes within this time count once against a part on which answers had begun.
     static constexpr std::chrono::milliseconds common_cause_time{1'000};
-    /// Crashes within this time count once against any part.
+    /// Crashes within this time count once against any part, except against a request
+    /// that was at all these servers.
     static constexpr std::chrono::milliseconds simultaneous_time{5};
+    /// Time from a block, and from its first trial, to the next trial of a request that
+    /// can't be told apart from another blocked one.
+    static constexpr std::chrono::milliseconds first_ambiguous_trial_delay{500};
+    static constexpr std::chrono::seconds next_ambiguous_trial_delay{5};
+    /// All trials are at least so far apart, so that not two of them are at the server
+    /// that ends under one.
+    static constexpr std::chrono::milliseconds trial_spacing{500};
     static constexpr std::uint32_t max_trials = 2;
     /// How long crashes that led to no block are remembered, and answers.
     static constexpr std::chrono::seconds memory{600};
@@ -103,6 +145,8 @@
     static constexpr std::size_t max_parts_with_answers = 4'096;
     static constexpr std::size_t max_blocks = 256;
     static constexpr std::size_t max_parts_in_request = 64;
+    /// Requests that a report names; those of the lowest hash.
+    static constexpr std::size_t max_requests_in_report = 4;
     /// Largest number of reports in a digest; the newest ones go first.
     static constexpr std::size_t max_reports_in_digest = 128;
 
@@ -113,8 +157,8 @@
 
     /// \brief Records that a server ended before the answer to a request had begun.
     /// \param without_event whether nothing of the answer had arrived.
-    void record_crash(std::span<const name_key> parts, name_key server,
-                      bool without_event, time_point now);
+    void record_crash(const request_parts& parts, name_key server, bool without_event,
+                      time_point now);
 
     /// \brief Records that an answer to a request has begun.
     void record_answer(std::span<const name_key> parts, time_point now);
@@ -130,6 +174,12 @@
     [[nodiscard]] std::optional<duration> time_to_trial(name_key block,
                                                         time_point now) const;
 
+    /// \brief Returns the next state of the turn that a trial needs; nothing while the
+    /// latest trial is too recent. A turn is kept and told like a block, but blocks
+    /// nothing.
+    [[nodiscard]] std::optional<part_block> next_trial_turn(time_point now) const;
+    [[nodiscard]] static bool is_trial_turn(const part_block& block);
+
     /// \brief Merges another entry's evidence and blocks, or stored blocks.
     /// \returns whether anything was new, so that it should be passed on.
     bool apply(const quarantine_digest& digest, time_point now);
@@ -155,6 +205,12 @@
         bool without_event = false;
         bool cleared = false;
         bool had_answers = false;
+        part_kind kind = part_kind::prompt_part;
+        std::vector<name_key> requests; ///< Sorted.
+
+        /// Adds what another report of the same crash tells.
+        /// \returns whether anything was new.
+        bool merge(const crash_report& report);
     };
     struct block_state
     {
@@ -171,8 +227,11 @@
     struct candidate
     {
         name_key part;
+        part_kind kind = part_kind::prompt_part;
         const server_set* servers = nullptr; ///< At which it is implicated.
-        server_set without_event; ///< Of these, where a request had received no event.
+        server_set without_event;    ///< Of these, where a request had received no event.
+        std::set<name_key> requests; ///< That had it, by their keys with the prompt.
+        std::size_t reports = 0;     ///< Of servers, also where others had no event.
         bool had_answers = false;
         double crash_weight = 0; ///< Crashes with a common cause count once.
     };
@@ -186,10 +245,41 @@
     /// Blocks what the settled evidence implicates.
     void evaluate(time_point now);
     [[nodiscard]] std::map<name_key, server_set> open_crashes(time_point now) const;
-    [[nodiscard]] server_set
-    explained_crashes(const std::map<name_key, server_set>& open) const;
+    /// \param is_of_parts leaves out the blocks of requests.
+    [[nodiscard]] server_set explained_crashes(const std::map<name_key, server_set>& open,
+                                               bool is_of_parts) const;
     [[nodiscard]] candidate make_candidate(name_key part,
                                            const server_set& servers) const;
+    /// Returns the servers that ended at about the same time as others under which the
+    /// part wasn't.
+    [[nodiscard]] bool has_other_end(const server_set& servers, time_point time) const;
+    /// Tells whether the same crashes implicate two suspects.
+    [[nodiscard]] static bool is_alike(const candidate& left, const candidate& right);
+    /// Tells whether a suspect is a request that was in all crashes of another blocked
+    /// one, so that either may be the cause.
+    [[nodiscard]] bool is_tied_request(const candidate& suspect) const;
+    [[nodiscard]] part_block make_block(const candidate& suspect,
+                                        std::span<const candidate> candidates) const;
+    struct request_crashes
+    {
+        name_key request;
+        part_kind kind = part_kind::prompt_part;
+        server_set servers;
+    };
+    /// Returns the crashes of a block of a request; none for any other.
+    [[nodiscard]] request_crashes crashes_of_request(const part_block& block) const;
+    /// Tells whether one of two keys is of the same request as the other, with its
+    /// prompt.
+    [[nodiscard]] bool are_of_same_request(name_key left, name_key right) const;
+    [[nodiscard]] bool has_request(name_key part, name_key whole_request) const;
+    /// Tells whether a prompt's part came with a request at all of its crashes.
+    [[nodiscard]] bool is_part_of(const candidate& part, const candidate& request) const;
+    /// Tells whether another blocked request has at least the same crashes.
+    [[nodiscard]] bool is_ambiguous(const part_block& block) const;
+    /// Returns the crashes that implicate all parts of a block.
+    [[nodiscard]] server_set crashes_of_block(const part_block& block) const;
+    /// Lifts the blocks whose crashes another block explains, beside more.
+    void lift_explained_blocks(time_point now);
     [[nodiscard]] bool is_explained(const candidate& suspect, const server_set& explained,
                                     time_point now) const;
     [[nodiscard]] double weight_of(const candidate& suspect, name_key server) const;
--- a/src/core/part_quarantine.cpp
+++ b/src/core/part_quarantine.cpp
@@ -1,6 +1,7 @@
 #include <agateseam/part_quarantine.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 
 namespace agateseam
@@ -12,6 +13,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto expire_interval = 1s;
+/// The part of the object that counts the trials.
+const name_key trial_turn_part = "agateseam trial turn";
 
 bool contains_all(std::span<const name_key> parts, const std::vector<name_key>& wanted)
 {
@@ -38,6 +41,25 @@
     return text;
 }
 
+request_parts request_parts::create(name_key request,
+                                    std::span<const name_key> prompt_parts)
+{
+    request_parts parts;
+    if (!prompt_parts.empty())
+    {
+        std::string whole = to_hex(request);
+        for (const name_key part : prompt_parts)
+        {
+            whole += to_hex(part);
+        }
+        parts.keys.emplace_back(whole);
+    }
+    parts.keys.push_back(request);
+    parts.own_keys = parts.keys.size();
+    parts.keys.insert(parts.keys.end(), prompt_parts.begin(), prompt_parts.end());
+    return parts;
+}
+
 part_quarantine::crash_state&
 part_quarantine::add_crash(const crash_key& key, time_point happened_at, time_point now)
 {
@@ -63,17 +85,43 @@
     return crash;
 }
 
-void part_quarantine::record_crash(std::span<const name_key> parts, name_key server,
+void part_quarantine::record_crash(const request_parts& parts, name_key server,
                                    bool without_event, time_point now)
 {
-    for (const name_key part : examined(parts))
+    const std::span<const name_key> keys = examined(parts.keys);
+    for (std::size_t index = 0; index < keys.size(); ++index)
     {
-        crash_state& crash = this->add_crash({part, server}, now, now);
-        crash.without_event |= without_event;
+        crash_state& crash = this->add_crash({keys[index], server}, now, now);
+        crash_report report;
+        report.kind = parts.kind_of(index);
+        report.without_event = without_event;
+        if (parts.own_keys > 0 && index > 0)
+        {
+            report.requests = {parts.keys.front()};
+        }
+        crash.merge(report);
         crash.changed_at = now;
     }
 }
 
+bool part_quarantine::crash_state::merge(const crash_report& report)
+{
+    std::vector<name_key> all;
+    std::set_union(this->requests.begin(), this->requests.end(), report.requests.begin(),
+                   report.requests.end(), std::back_inserter(all));
+    all.resize(std::min(all.size(), max_requests_in_report));
+    const bool is_new = (report.cleared && !this->cleared) ||
+                        (report.without_event && !this->without_event) ||
+                        (report.had_answers && !this->had_answers) ||
+                        report.kind > this->kind || all != this->requests;
+    this->cleared |= report.cleared;
+    this->without_event |= report.without_event;
+    this->had_answers |= report.had_answers;
+    this->kind = std::max(this->kind, report.kind);
+    this->requests = std::move(all);
+    return is_new;
+}
+
 void part_quarantine::record_answer(std::span<const name_key> parts, time_point now)
 {
     for (const name_key part : examined(parts))
@@ -210,6 +258,13 @@
         return std::nullopt;
     }
     const part_block& state = found->second.block;
+    if (this->is_ambiguous(state))
+    {
+        const duration delay = state.number == 1 ? duration(first_ambiguous_trial_delay)
+                                                 : duration(next_ambiguous_trial_delay);
+        return std::max<duration>(found->second.learned_at + delay - now,
+                                  duration::zero());
+    }
     const bool had_answers =
         std::all_of(state.parts.begin(), state.parts.end(),
                     [this](name_key part) { return this->answered.contains(part); });
@@ -225,6 +280,27 @@
     return left && *left <= duration::zero();
 }
 
+std::optional<part_block> part_quarantine::next_trial_turn(time_point now) const
+{
+    part_block turn{{trial_turn_part}, 1, false};
+    const auto known = this->blocks.find(turn.key());
+    if (known == this->blocks.end())
+    {
+        return turn;
+    }
+    if (now - known->second.learned_at < trial_spacing)
+    {
+        return std::nullopt;
+    }
+    turn.number = known->second.block.number + 1;
+    return turn;
+}
+
+bool part_quarantine::is_trial_turn(const part_block& block)
+{
+    return block.parts.size() == 1 && block.parts.front() == trial_turn_part;
+}
+
 bool part_quarantine::apply(const quarantine_digest& digest, time_point now)
 {
     bool is_changed = false;
@@ -243,13 +319,8 @@
         }
         is_changed |= known == this->crashes.end();
         crash_state& crash = this->add_crash(key, now - age, now);
-        if ((report.cleared && !crash.cleared) ||
-            (report.without_event && !crash.without_event) ||
-            (report.had_answers && !crash.had_answers))
+        if (crash.merge(report))
         {
-            crash.cleared |= report.cleared;
-            crash.without_event |= report.without_event;
-            crash.had_answers |= report.had_answers;
             crash.changed_at = now;
             is_changed = true;
         }
@@ -304,7 +375,8 @@
                 {crash.happened_at,
                  {key.first, key.second,
                   static_cast<std::uint64_t>(std::max(age.count(), decltype(age)::rep{})),
-                  crash.without_event, crash.cleared, crash.had_answers}});
+                  crash.without_event, crash.cleared, crash.had_answers, crash.kind,
+                  crash.requests}});
         }
     }
     std::sort(reports.begin(), reports.end(),
--- a/src/core/part_quarantine_evaluation.cpp
+++ b/src/core/part_quarantine_evaluation.cpp
@@ -1,10 +1,37 @@
 #include <agateseam/part_quarantine.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace agateseam
 {
 
+namespace
+{
+
+bool includes_all(const std::set<name_key>& all, const std::set<name_key>& some)
+{
+    return std::includes(all.begin(), all.end(), some.begin(), some.end());
+}
+
+/// Returns the order in which suspects of the same crashes and of as many requests are
+/// blocked: the narrowest first.
+int breadth(part_kind kind) noexcept
+{
+    switch (kind)
+    {
+    case part_kind::whole_request:
+        return 0;
+    case part_kind::request:
+        return 1;
+    case part_kind::prompt_part:
+        break;
+    }
+    return 2;
+}
+
+} // namespace
+
 /// Returns the servers at which each part is implicated and not cleared.
 std::map<name_key, part_quarantine::server_set>
 part_quarantine::open_crashes(time_point now) const
@@ -46,7 +73,19 @@
     std::vector<std::pair<time_point, double>> ends;
     for (const name_key server : servers)
     {
-        result.had_answers |= this->crashes.at({part, server}).had_answers;
+        const crash_state& crash = this->crashes.at({part, server});
+        result.had_answers |= crash.had_answers;
+        result.kind = std::max(result.kind, crash.kind);
+        result.requests.insert(crash.requests.begin(), crash.requests.end());
+    }
+    if (result.kind == part_kind::whole_request)
+    {
+        result.requests = {part};
+    }
+    for (auto crash = this->crashes.lower_bound({part, name_key{}});
+         crash != this->crashes.end() && crash->first.first == part; ++crash)
+    {
+        result.reports += crash->second.cleared ? 0 : 1;
     }
     for (const name_key server : servers)
     {
@@ -66,7 +105,11 @@
     double counted_weight = 0;
     for (const auto& [time, weight] : ends)
     {
-        if (time - counted_at >= min_interval)
+        // Bodies that streams with several prompts share tell no request from another.
+        const bool is_only_cause = result.kind != part_kind::prompt_part &&
+                                   result.requests.size() <= 1 && !result.had_answers &&
+                                   !this->has_other_end(servers, time);
+        if (time - counted_at >= min_interval || is_only_cause)
         {
             counted_at = time;
             counted_weight = 0;
@@ -77,16 +120,31 @@
     return result;
 }
 
+/// Tells whether a server without the part ended at about a time.
+bool part_quarantine::has_other_end(const server_set& servers, time_point time) const
+{
+    return std::any_of(this->crashes.begin(), this->crashes.end(),
+                       [&servers, time](const auto& item)
+                       {
+                           return std::chrono::abs(item.second.happened_at - time) <
+                                      simultaneous_time &&
+                                  !servers.contains(item.first.second);
+                       });
+}
+
 /// Returns the crashes that the blocks explain: those in which all parts of a block are
 /// implicated.
 part_quarantine::server_set
-part_quarantine::explained_crashes(const std::map<name_key, server_set>& open) const
+part_quarantine::explained_crashes(const std::map<name_key, server_set>& open,
+                                   bool is_of_parts) const
 {
     server_set explained;
     for (const auto& [key, state] : this->blocks)
     {
         const auto first = open.find(state.block.parts.front());
-        if (state.block.lifted || first == open.end())
+        if (state.block.lifted || first == open.end() ||
+            (is_of_parts &&
+             this->crashes_of_request(state.block).kind != part_kind::prompt_part))
         {
             continue;
         }
@@ -115,7 +173,8 @@
         return;
     }
     const auto open = this->open_crashes(now);
-    server_set explained = this->explained_crashes(open);
+    server_set explained = this->explained_crashes(open, false);
+    server_set explained_by_parts = this->explained_crashes(open, true);
     std::vector<candidate> candidates;
     for (const auto& [part, servers] : open)
     {
@@ -125,33 +184,33 @@
             candidates.push_back(suspect);
         }
     }
-    std::stable_sort(
-        candidates.begin(), candidates.end(),
-        [](const candidate& left, const candidate& right)
-        {
-            return left.had_answers != right.had_answers
-                       ? right.had_answers
-                       : std::pair(left.without_event.size(), left.servers->size()) >
-                             std::pair(right.without_event.size(), right.servers->size());
-        });
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const candidate& left, const candidate& right)
+                     {
+                         if (left.had_answers != right.had_answers)
+                         {
+                             return right.had_answers;
+                         }
+                         // The cause was in all crashes, whatever the streams beside it
+                         // had received; of what was, the narrowest.
+                         const auto rank = [](const candidate& suspect)
+                         {
+                             return std::tuple(
+                                 -static_cast<std::ptrdiff_t>(suspect.reports),
+                                 suspect.requests.size(),
+                                 -static_cast<std::ptrdiff_t>(suspect.servers->size()),
+                                 breadth(suspect.kind));
+                         };
+                         return rank(left) < rank(right);
+                     });
     for (const candidate& suspect : candidates)
     {
-        if (this->is_explained(suspect, explained, now))
+        const bool is_tied = this->is_tied_request(suspect);
+        if (this->is_explained(suspect, is_tied ? explained_by_parts : explained, now))
         {
             continue;
         }
-        part_block block;
-        for (const candidate& other : candidates)
-        {
-            const bool is_alike = suspect.without_event.empty()
-                                      ? *other.servers == *suspect.servers
-                                      : other.without_event == suspect.without_event;
-            if (is_alike && other.had_answers == suspect.had_answers)
-            {
-                block.parts.push_back(other.part);
-            }
-        }
-        std::sort(block.parts.begin(), block.parts.end());
+        part_block block = this->make_block(suspect, candidates);
         const auto known = this->blocks.find(block.key());
         block.number = known == this->blocks.end() ? 1 : known->second.block.number + 1;
         if (known == this->blocks.end() || known->second.block.lifted)
@@ -159,7 +218,12 @@
             this->merge_block(block, now);
         }
         explained.insert(suspect.servers->begin(), suspect.servers->end());
+        if (suspect.kind == part_kind::prompt_part)
+        {
+            explained_by_parts.insert(suspect.servers->begin(), suspect.servers->end());
+        }
     }
+    this->lift_explained_blocks(now);
     this->is_unevaluated =
         std::any_of(this->crashes.begin(), this->crashes.end(),
                     [now](const auto& item)
@@ -167,6 +231,180 @@
     this->evaluate_at = now + settle_time / 10;
 }
 
+bool part_quarantine::is_alike(const candidate& left, const candidate& right)
+{
+    return left.had_answers == right.had_answers &&
+           (left.without_event.empty() ? *left.servers == *right.servers
+                                       : left.without_event == right.without_event);
+}
+
+bool part_quarantine::is_tied_request(const candidate& suspect) const
+{
+    if (suspect.kind == part_kind::prompt_part)
+    {
+        return false;
+    }
+    bool is_tied = false;
+    for (const auto& [key, state] : this->blocks)
+    {
+        const request_crashes blocked = this->crashes_of_request(state.block);
+        const bool is_same = blocked.request == suspect.part ||
+                             this->are_of_same_request(blocked.request, suspect.part);
+        if (is_same && includes_all(blocked.servers, *suspect.servers))
+        {
+            return false;
+        }
+        is_tied |= !blocked.servers.empty() && !is_same &&
+                   includes_all(*suspect.servers, blocked.servers);
+    }
+    return is_tied;
+}
+
+bool part_quarantine::are_of_same_request(name_key left, name_key right) const
+{
+    return this->has_request(left, right) || this->has_request(right, left);
+}
+
+bool part_quarantine::has_request(name_key part, name_key whole_request) const
+{
+    for (auto crash = this->crashes.lower_bound({part, name_key{}});
+         crash != this->crashes.end() && crash->first.first == part; ++crash)
+    {
+        const std::vector<name_key>& requests = crash->second.requests;
+        if (std::binary_search(requests.begin(), requests.end(), whole_request))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Returns the block of a suspect: of a request with the parts of its
+/// prompt that the same crashes implicate, of a prompt's part with all such parts.
+part_block part_quarantine::make_block(const candidate& suspect,
+                                       std::span<const candidate> candidates) const
+{
+    part_block block;
+    if (suspect.kind != part_kind::prompt_part)
+    {
+        block.parts.push_back(suspect.part);
+    }
+    for (const candidate& other : candidates)
+    {
+        if (other.kind == part_kind::prompt_part && is_alike(other, suspect) &&
+            (suspect.kind == part_kind::prompt_part || this->is_part_of(other, suspect)))
+        {
+            block.parts.push_back(other.part);
+        }
+    }
+    std::sort(block.parts.begin(), block.parts.end());
+    return block;
+}
+
+bool part_quarantine::is_part_of(const candidate& part, const candidate& request) const
+{
+    return std::all_of(
+        part.servers->begin(), part.servers->end(),
+        [this, &part, &request](name_key server)
+        {
+            const auto crash = this->crashes.find({request.part, server});
+            const auto& requests = this->crashes.at({part.part, server}).requests;
+            return crash != this->crashes.end() &&
+                   std::any_of(requests.begin(), requests.end(),
+                               [&request, &crash](name_key whole)
+                               {
+                                   return whole == request.part ||
+                                          std::binary_search(
+                                              crash->second.requests.begin(),
+                                              crash->second.requests.end(), whole);
+                               });
+        });
+}
+
+part_quarantine::request_crashes
+part_quarantine::crashes_of_request(const part_block& block) const
+{
+    request_crashes result;
+    for (const name_key part : block.parts)
+    {
+        for (auto crash = this->crashes.lower_bound({part, name_key{}});
+             crash != this->crashes.end() && crash->first.first == part && !block.lifted;
+             ++crash)
+        {
+            if (crash->second.kind != part_kind::prompt_part && !crash->second.cleared)
+            {
+                result.request = part;
+                result.kind = crash->second.kind;
+                result.servers.insert(crash->first.second);
+            }
+        }
+    }
+    return result;
+}
+
+bool part_quarantine::is_ambiguous(const part_block& block) const
+{
+    const request_crashes own = this->crashes_of_request(block);
+    return !own.servers.empty() &&
+           std::any_of(this->blocks.begin(), this->blocks.end(),
+                       [this, &own, &block](const auto& item)
+                       {
+                           const part_block& other = item.second.block;
+                           const request_crashes others = this->crashes_of_request(other);
+                           return other.parts != block.parts &&
+                                  includes_all(others.servers, own.servers);
+                       });
+}
+
+part_quarantine::server_set
+part_quarantine::crashes_of_block(const part_block& block) const
+{
+    std::map<name_key, std::size_t> counts;
+    for (const name_key part : block.parts)
+    {
+        for (auto crash = this->crashes.lower_bound({part, name_key{}});
+             crash != this->crashes.end() && crash->first.first == part && !block.lifted;
+             ++crash)
+        {
+            counts[crash->first.second] += crash->second.cleared ? 0 : 1;
+        }
+    }
+    server_set servers;
+    for (const auto& [server, count] : counts)
+    {
+        if (count == block.parts.size())
+        {
+            servers.insert(server);
+        }
+    }
+    return servers;
+}
+
+void part_quarantine::lift_explained_blocks(time_point now)
+{
+    std::vector<std::pair<part_block, server_set>> crashed;
+    for (const auto& [key, state] : this->blocks)
+    {
+        crashed.emplace_back(state.block, this->crashes_of_block(state.block));
+    }
+    for (const auto& [block, servers] : crashed)
+    {
+        const bool is_explained =
+            !servers.empty() &&
+            std::any_of(crashed.begin(), crashed.end(),
+                        [&servers = servers](const auto& other) {
+                            return other.second.size() > servers.size() &&
+                                   includes_all(other.second, servers);
+                        });
+        if (is_explained)
+        {
+            part_block lifted = block;
+            lifted.lifted = true;
+            this->merge_block(lifted, now);
+        }
+    }
+}
+
 /// Returns how much a server's end counts against a part.
 double part_quarantine::weight_of(const candidate& suspect, name_key server) const
 {
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -15,7 +15,7 @@
 
 /// A digest is one array: the entry's name, then integers in a fixed order, where each
 /// list begins with its length.
-constexpr std::int64_t format_version = 5;
+constexpr std::int64_t format_version = 6;
 /// Amounts are sent as whole thousandths, which are shorter than floating point numbers.
 /// Requests earn hundredths of a repeat, so this is precise enough.
 constexpr double amount_scale = 1'000;
@@ -68,6 +68,29 @@
 constexpr std::int64_t flag_cleared = 1;
 constexpr std::int64_t flag_had_answers = 2;
 constexpr std::int64_t flag_without_event = 4;
+constexpr std::int64_t flag_request = 8;
+constexpr std::int64_t flag_whole_request = 16;
+
+std::int64_t kind_flag(part_kind kind) noexcept
+{
+    switch (kind)
+    {
+    case part_kind::prompt_part:
+        return 0;
+    case part_kind::request:
+        return flag_request;
+    case part_kind::whole_request:
+        break;
+    }
+    return flag_whole_request;
+}
+
+part_kind read_kind(std::int64_t flags) noexcept
+{
+    return (flags & flag_whole_request) != 0 ? part_kind::whole_request
+           : (flags & flag_request) != 0     ? part_kind::request
+                                             : part_kind::prompt_part;
+}
 
 void append_quarantine(json& items, const quarantine_digest& quarantine)
 {
@@ -79,7 +102,13 @@
         items.push_back(crash.age_ms);
         items.push_back((crash.cleared ? flag_cleared : 0) |
                         (crash.had_answers ? flag_had_answers : 0) |
-                        (crash.without_event ? flag_without_event : 0));
+                        (crash.without_event ? flag_without_event : 0) |
+                        kind_flag(crash.kind));
+        items.push_back(crash.requests.size());
+        for (const name_key request : crash.requests)
+        {
+            items.push_back(to_integer(request.hash()));
+        }
     }
     items.push_back(quarantine.blocks.size());
     for (const part_block& block : quarantine.blocks)
@@ -245,7 +274,7 @@
 quarantine_digest read_quarantine(integer_reader& reader)
 {
     quarantine_digest quarantine;
-    quarantine.crashes.resize(reader.next_length(4));
+    quarantine.crashes.resize(reader.next_length(5));
     for (crash_report& crash : quarantine.crashes)
     {
         crash.part = reader.next_key();
@@ -255,6 +284,12 @@
         crash.cleared = (flags & flag_cleared) != 0;
         crash.had_answers = (flags & flag_had_answers) != 0;
         crash.without_event = (flags & flag_without_event) != 0;
+        crash.kind = read_kind(flags);
+        crash.requests.resize(reader.next_length(1));
+        for (name_key& request : crash.requests)
+        {
+            request = reader.next_key();
+        }
     }
     quarantine.blocks.resize(reader.next_length(3));
     for (part_block& block : quarantine.blocks)
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -44,7 +44,8 @@
 struct attempt_result
 {
     attempt_outcome end = attempt_outcome::not_sent;
-    bool withheld = false; ///< Not sent, as the server accepts no work any more.
+    bool withheld = false;  ///< Not sent: the server accepts no work, or it is blocked.
+    bool is_broken = false; ///< The server ended the connection.
     message_head head;
     std::string body;
 };
@@ -64,6 +65,12 @@
         {
             this->scope->step = "server";
             const auto server = co_await this->find_server();
+            if (const part_block* block = this->scope->part_block_in_force())
+            {
+                co_await send_local_answer(*this->scope,
+                                           make_blocked_answer(*this->scope, *block));
+                co_return;
+            }
             attempt_result outcome;
             if (server)
             {
@@ -102,7 +109,8 @@
             const duration backoff =
                 server ? this->backoff_left(server->id, now) : duration::zero();
             if (backoff <= duration::zero() || now >= wait_until ||
-                this->scope->exchange->disconnected())
+                this->scope->exchange->disconnected() ||
+                this->scope->part_block_in_force() != nullptr)
             {
                 if (server)
                 {
@@ -252,12 +260,16 @@
         if (outcome.withheld)
         {
             this->state->health.withdraw(server.id);
-            log_failure(*this->scope, "attempt withheld", server.id, "accepts no work");
+            log_failure(*this->scope, "attempt withheld", server.id,
+                        this->scope->part_block_in_force() != nullptr
+                            ? "blocked"
+                            : "accepts no work");
             co_return outcome;
         }
         const time_point now = boot_now();
         this->state->health.end(server.id, this->observation_of(outcome),
                                 now - started_at, now);
+        this->record_effect(server, outcome);
         if (outcome.end != attempt_outcome::answered)
         {
             log_failure(*this->scope, "attempt failed", server.id, to_string(outcome.end),
@@ -266,6 +278,20 @@
         co_return outcome;
     }
 
+    /// Records whether the server ended under the request, or answered it.
+    void record_effect(const backend_server& server, const attempt_result& outcome)
+    {
+        if (outcome.end == attempt_outcome::answered ||
+            outcome.end == attempt_outcome::failed)
+        {
+            this->state->quarantine.record_answer(this->scope->parts.keys, boot_now());
+        }
+        else if (outcome.is_broken && !this->scope->exchange->disconnected())
+        {
+            this->scope->record_crash(server, outcome.head.status == 0);
+        }
+    }
+
     task<attempt_result> send_and_read(const backend_server& server)
     {
         attempt_result outcome;
@@ -290,7 +316,8 @@
             link->close();
             co_return outcome;
         }
-        outcome.withheld = !this->state->try_begin_send(server);
+        outcome.withheld = this->scope->part_block_in_force() != nullptr ||
+                           !this->state->try_begin_send(server);
         if (outcome.withheld)
         {
             this->state->pool.return_connection(link);
@@ -304,6 +331,7 @@
         link->send(this->state->dialect->write_request(exchange.request(), options),
                    exchange.request().body);
         ++this->requests_sent;
+        this->scope->is_trial = false;
         this->scope->step = "answer";
         outcome.end = co_await this->read_answer(link, server, outcome);
         exchange.on_disconnect(nullptr);
@@ -322,22 +350,24 @@
         {
             this->arm_attempt_timer(timer, link, is_active, limit);
         }
-        const io_outcome end = co_await this->read_whole_answer(*link, server);
+        const io_outcome end =
+            co_await this->read_whole_answer(*link, server, outcome.head);
         *is_active = false;
         if (end != io_outcome::good)
         {
             link->close();
+            outcome.is_broken = end == io_outcome::broken && !this->has_reserved_repeat;
             co_return this->has_reserved_repeat || end == io_outcome::timed_out
                 ? attempt_outcome::timed_out
                 : attempt_outcome::lost;
         }
-        outcome.head = link->head();
         outcome.body = link->take_body();
         co_return this->classify_answer(outcome.head);
     }
 
+    /// \param head the answer's head, if it arrives.
     task<io_outcome> read_whole_answer(upstream_connection& link,
-                                       const backend_server& server)
+                                       const backend_server& server, message_head& head)
     {
         const io_outcome end = co_await read_reply_head(
             *this->state, server, link, this->scope->metadata.id, this->scope->deadline);
@@ -345,6 +375,7 @@
         {
             co_return end;
         }
+        head = link.head();
         co_return co_await link.read_whole(this->scope->deadline, max_answer_size);
     }
 
--- a/src/gateway/platform_link.hpp
+++ b/src/gateway/platform_link.hpp
@@ -52,6 +52,13 @@
     [[nodiscard]] virtual store_watch_plan plan_watch() const = 0;
 };
 
+/// \brief A block's state in the store after a write.
+struct stored_part_block
+{
+    part_block block;
+    bool is_written = false; ///< By this write; otherwise the state was there before.
+};
+
 /// \brief The link to the platform.
 class platform_link
 {
@@ -88,8 +95,8 @@
     /// \param is_claim succeeds for one entry: only if the stored state is the one just
     /// before `block`.
     /// \returns the stored state afterwards.
-    virtual task<result<part_block>> write_part_block(part_block block,
-                                                      bool is_claim) = 0;
+    virtual task<result<stored_part_block>> write_part_block(part_block block,
+                                                             bool is_claim) = 0;
 
     /// \brief Decodes a configuration document that another entry sent.
     [[nodiscard]] virtual result<std::shared_ptr<const routing_table>>
--- a/src/gateway/quarantine_keeper.cpp
+++ b/src/gateway/quarantine_keeper.cpp
@@ -105,31 +105,36 @@
             co_await pause_for(*this->state->loop, read_interval);
             co_return;
         }
-        this->apply({*stored});
+        this->apply({stored->block});
     }
 }
 
 task<bool> quarantine_keeper::claim_trial(part_block block)
 {
-    if (this->is_busy)
+    const auto turn = this->state->quarantine.next_trial_turn(boot_now());
+    if (this->is_busy || !turn || !co_await this->claim(*turn))
     {
         co_return false;
     }
-    part_block next = block;
+    const bool is_due = this->state->quarantine.is_trial_due(block.key(), boot_now());
+    part_block next = std::move(block);
     ++next.number;
+    co_return is_due&& co_await this->claim(std::move(next));
+}
+
+/// Stores the state that follows the stored one, unless another entry did.
+task<bool> quarantine_keeper::claim(part_block next)
+{
     this->is_busy = true;
     const auto stored = co_await this->link->write_part_block(next, true);
     this->is_busy = false;
-    const bool is_claimed = stored && stored->number == next.number && !stored->lifted;
     if (!stored)
     {
-        log_error("trial not claimed", stored.error(), {{"block", to_hex(block.key())}});
+        log_error("trial not claimed", stored.error(), {{"block", to_hex(next.key())}});
         co_return false;
     }
-    const bool is_own =
-        is_claimed && this->state->quarantine.is_trial_due(block.key(), boot_now());
-    this->apply({*stored});
-    co_return is_own;
+    this->apply({stored->block});
+    co_return stored->is_written;
 }
 
 void quarantine_keeper::log_changes()
@@ -137,6 +142,10 @@
     for (const part_block& block :
          this->state->quarantine.take_changed_blocks(boot_now()))
     {
+        if (part_quarantine::is_trial_turn(block))
+        {
+            continue;
+        }
         std::string parts;
         for (const name_key part : block.parts)
         {
--- a/src/gateway/quarantine_keeper.hpp
+++ b/src/gateway/quarantine_keeper.hpp
@@ -27,6 +27,7 @@
 
   private:
     task<bool> claim_trial(part_block block);
+    task<bool> claim(part_block next);
     task<void> read_blocks();
     task<void> save_blocks();
     void apply(std::vector<part_block> blocks);
--- a/src/gateway/request_pipeline.cpp
+++ b/src/gateway/request_pipeline.cpp
@@ -56,6 +56,16 @@
                : workspace.default_tokens;
 }
 
+/// Returns the key that a request has each time that its caller sends it.
+name_key request_key(const request_scope& scope)
+{
+    const caller_request& request = scope.exchange->request();
+    std::string text = request.head.method + " " + request.head.target + " ";
+    text += scope.workspace_name();
+    text += " " + to_hex(name_key(std::string_view(*request.body)));
+    return name_key(text);
+}
+
 } // namespace
 
 task<void> request_pipeline::handle(caller_exchange& exchange)
@@ -106,10 +116,9 @@
         co_await send_local_answer(scope, make_stopping_answer());
         co_return;
     }
-    const bool is_model_request = scope.is_model_request();
-    const part_block* block = is_model_request ? scope.part_block_in_force() : nullptr;
-    if (block != nullptr &&
-        !this->state->quarantine.is_trial_due(block->key(), boot_now()))
+    scope.parts = request_parts::create(request_key(scope), scope.metadata.shared_parts);
+    const part_block* block = scope.part_block_in_force();
+    if (block != nullptr && !this->may_claim_trial(scope, *block))
     {
         co_await send_local_answer(scope, make_blocked_answer(scope, *block));
         co_return;
@@ -120,9 +129,9 @@
         co_return;
     }
     this->state->ledger.add_repeat_credit(scope.service, boot_now());
-    if (is_model_request)
+    co_await this->claim_trial(scope);
+    if (scope.is_model_request())
     {
-        co_await this->claim_trial(scope);
         co_await run_model_call(scope);
     }
     else
@@ -153,12 +162,23 @@
     return std::nullopt;
 }
 
-/// Makes a request with blocked parts the trial of its block, if one is due.
+/// Tells whether a trial of a block is due and a server may be used for it.
+bool request_pipeline::may_claim_trial(const request_scope& scope,
+                                       const part_block& block) const
+{
+    const time_point now = boot_now();
+    const auto& servers = this->state->servers_of(scope.service);
+    return this->state->quarantine.is_trial_due(block.key(), now) &&
+           std::any_of(servers.begin(), servers.end(),
+                       [this, now](const auto& server)
+                       { return this->state->health.allowed(server->id, now); });
+}
+
+/// Makes a blocked request the trial of its block, if one is due.
 task<void> request_pipeline::claim_trial(request_scope& scope)
 {
     const part_block* block = scope.part_block_in_force();
-    if (block == nullptr ||
-        !this->state->quarantine.is_trial_due(block->key(), boot_now()))
+    if (block == nullptr || !this->may_claim_trial(scope, *block))
     {
         co_return;
     }
--- a/src/gateway/request_pipeline.hpp
+++ b/src/gateway/request_pipeline.hpp
@@ -46,6 +46,8 @@
     task<void> serve(request_scope& scope);
     [[nodiscard]] std::optional<local_answer> authenticate(request_scope& scope) const;
     [[nodiscard]] std::optional<local_answer> admit(request_scope& scope);
+    [[nodiscard]] bool may_claim_trial(const request_scope& scope,
+                                       const part_block& block) const;
     task<void> claim_trial(request_scope& scope);
     [[nodiscard]] bool takes(const request_scope& scope);
     void record_end(const request_scope& scope, time_point started_at);
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -20,7 +20,7 @@
 constexpr auto max_return_spread = 500ms;
 /// Retry-After of a request whose block gets no further trial.
 constexpr auto blocked_retry_after = 600s;
-constexpr auto min_blocked_retry_after = 5s;
+constexpr auto min_blocked_retry_after = 1s;
 constexpr local_answer unknown_outcome{
     status_bad_gateway, "answer_lost", execution_state::unknown, {}};
 
@@ -53,9 +53,27 @@
 
 const part_block* request_scope::part_block_in_force() const
 {
-    return this->is_trial
-               ? nullptr
-               : this->state->quarantine.blocked(this->metadata.shared_parts, boot_now());
+    return this->is_trial ? nullptr
+                          : this->state->quarantine.blocked(this->parts.keys, boot_now());
+}
+
+void request_scope::record_crash(const backend_server& crashed, bool without_event) const
+{
+    this->state->quarantine.record_crash(
+        this->parts, name_key(crashed.id + "/" + std::to_string(crashed.born_ms)),
+        without_event, boot_now());
+    this->state->digest_due.notify();
+    std::string keys;
+    for (const name_key part : this->parts.keys)
+    {
+        keys += (keys.empty() ? "" : ",") + to_hex(part);
+    }
+    log_line(log_level::info, "server lost before answer",
+             {{"request", this->metadata.id},
+              {"server", crashed.id},
+              {"parts", keys},
+              {"without_event", without_event},
+              {"output_tokens", this->output_tokens}});
 }
 
 bool request_scope::is_key_valid() const
@@ -107,7 +125,9 @@
     scope.state->counters.add("agateseam_blocked_requests_total");
     log_line(log_level::info, "request has blocked parts",
              {{"request", scope.metadata.id}, {"block", to_hex(block.key())}});
-    return {status_unavailable, "prompt_part_blocked", execution_state::not_run,
+    return {status_unavailable,
+            scope.is_model_request() ? "prompt_part_blocked" : "request_blocked",
+            execution_state::not_run,
             std::max<duration>(retry_after, min_blocked_retry_after)};
 }
 
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -21,8 +21,9 @@
     std::string service;
     double charged_tokens = 0;       ///< Taken from the allowance.
     time_point deadline{};           ///< The answer must be complete by then.
+    request_parts parts;             ///< What may crash a server.
     std::uint32_t possible_runs = 0; ///< Attempts that a server may have run.
-    bool is_trial = false;           ///< May be sent once although its parts are blocked.
+    bool is_trial = false;           ///< May be sent once although it is blocked.
 
     // Values for the log line at the request's end.
     std::string outcome = "none";
@@ -59,6 +60,10 @@
     /// that may have run goes on until the process ends.
     [[nodiscard]] bool may_not_start(time_point now) const;
 
+    /// \brief Records that a server ended the connection while it had the request.
+    /// \param without_event whether nothing of the answer had arrived.
+    void record_crash(const backend_server& server, bool without_event) const;
+
     /// \brief Returns the block that keeps the request from servers, or null.
     [[nodiscard]] const part_block* part_block_in_force() const;
 
@@ -96,7 +101,7 @@
 /// \param rest_left until the first of the servers wants work again.
 [[nodiscard]] local_answer make_resting_answer(request_scope& scope, duration rest_left);
 
-/// \brief Returns the answer to a request with blocked parts, and logs it.
+/// \brief Returns the answer to a blocked request, and logs it.
 [[nodiscard]] local_answer make_blocked_answer(const request_scope& scope,
                                                const part_block& block);
 
--- a/tests/site/crash_test.py
+++ b/tests/site/crash_test.py
@@ -149,6 +149,14 @@
         drill.check()
 
 
+def test_a_crash_after_the_first_event_counts_without_earlier_answers(build, directory):
+    """Guards against a block of the part that all streams share, before any has been answered."""
+    with Drill(build, directory, events_before_crash=1) as drill:
+        drill.start_callers()
+        time.sleep(14)
+        drill.check()
+
+
 def test_an_entry_that_restarts_learns_of_the_crashes(build, directory):
     with Drill(build, directory) as drill:
         drill.start_callers()
