--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -287,6 +287,8 @@
         self.rest_s, self.rest_began, self.arrivals_in_rest = None, None, []
         self.crash_times = []
         self.limit_per_s = None  # Named in all answers.
+        self.version = "v1"  # Of its software.
+        self.shows_version = False  # In the events of its streams.
 
     async def crash(self, site, down_s):
         """Resets all connections, refuses new ones for a time, and starts again by a new id at
@@ -337,7 +339,7 @@
 
     def server_spec(self, state="ready"):
         spec = {"service": self.service, "address": self.address, "zone": self.zone,
-                "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
+                "version": self.version, "slots": 8, "state": state, "cold_remaining_ms": 0,
                 "sequence": 1}
         if self.stage:
             spec["stage"] = self.stage
@@ -421,7 +423,8 @@
             writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
             first_number = int(request.header("Last-Event-Id", "0")) + 1
             for number in range(first_number, self.event_count + 1):
-                event = (EVENT % (number, f"{request.id}.{number}")).encode()
+                shown = f".{self.version}" if self.shows_version else ""
+                event = (EVENT % (number, f"{request.id}.{number}{shown}")).encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
                 if self.event_delay_s:
--- a/include/agateseam/backend_directory.hpp
+++ b/include/agateseam/backend_directory.hpp
@@ -35,6 +35,7 @@
     std::uint32_t slots = 1;
     bool leaving = false;      ///< The server shuts down and takes no new work.
     std::uint64_t born_ms = 0; ///< Start time in Unix milliseconds; 0 when unknown.
+    std::string version;       ///< Of its software; empty when unknown.
 };
 
 /// The servers that may be given work, by service; immutable.
--- a/src/gateway/backend_dialect.hpp
+++ b/src/gateway/backend_dialect.hpp
@@ -30,6 +30,8 @@
     std::int64_t output_tokens = 0;                ///< Maximum.
     std::optional<std::int64_t> expected_output;   ///< Caller's estimate.
     std::optional<std::int64_t> last_event_number; ///< The stream resumes after it.
+    /// The caller's try that brought the first event of the stream; empty when unknown.
+    std::string resumed_request;
     /// Parts of the prompt, in order, that other requests may have too.
     std::vector<name_key> shared_parts;
 };
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -137,6 +137,7 @@
         log_line(log_level::info, "backend server changed",
                  {{"server", server.id},
                   {"address", server.address},
+                  {"version", server.version},
                   {"leaving", server.leaving}});
         const bool leaving = server.leaving;
         this->state.directory.put(std::move(server));
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -62,6 +62,13 @@
 
     task<void> run()
     {
+        if (this->last_event_number)
+        {
+            log_line(log_level::info, "stream taken up",
+                     {{"request", this->scope->metadata.id},
+                      {"begun_by", this->scope->metadata.resumed_request},
+                      {"last_event", *this->last_event_number}});
+        }
         if (const part_block* block = this->scope->part_block_in_force())
         {
             co_await send_local_answer(*this->scope,
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -161,6 +161,7 @@
     log_line(log_level::info, "decode place reserved",
              {{"request", this->scope->metadata.id},
               {"server", server.id},
+              {"version", server.version},
               {"waited_ms", whole_milliseconds(this->scope->queue_time)},
               {"waiting", static_cast<std::int64_t>(this->engines->queue.size())}});
 }
