Events of a stream are relayed before the next one is made

Callers got each event of a chunked stream when the next one came, and a silent stream was never replaced: found by the test of streams that fall silent, which ended complete for no reason.

Cause: the parser takes the end of a chunk together with the next chunk's header, so two bytes stay unparsed after each event. `read_body` then waited for more before it returned the event, and `wait_for_input` took the two bytes for input, so that the silence was never seen. Class: bytes that can't be parsed yet count as bytes to read. Ruled out: the caller's side (a raw socket shows the same) and the budget of repeats (no place was looked for).

Change: a connection knows how many of its bytes need more to be parsed.

--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -289,6 +289,7 @@
         self.limit_per_s = None  # Named in all answers.
         self.version = "v1"  # Of its software.
         self.shows_version = False  # In the events of its streams.
+        self.silent_from = None  # The event at which streams that begin here fall silent.
 
     async def crash(self, site, down_s):
         """Resets all connections, refuses new ones for a time, and starts again by a new id at
@@ -423,6 +424,8 @@
             writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
             first_number = int(request.header("Last-Event-Id", "0")) + 1
             for number in range(first_number, self.event_count + 1):
+                if number == self.silent_from and first_number == 1:
+                    await asyncio.sleep(3600)
                 shown = f".{self.version}" if self.shows_version else ""
                 event = (EVENT % (number, f"{request.id}.{number}{shown}")).encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -247,6 +247,7 @@
     for (;;)
     {
         this->parser = std::make_unique<response_parser>();
+        this->incomplete_bytes = 0;
         this->parser->eager(true);
         this->parser->skip(this->is_head_request); // no body follows
         // The callers of read_body and read_whole limit the size.
@@ -317,7 +318,7 @@
 task<bool> upstream_connection::wait_for_input(time_point until)
 {
     // While the request is being written, a cancellation would end that too.
-    if (this->closed || this->writing || !this->input.empty())
+    if (this->closed || this->writing || this->has_parsable_input())
     {
         co_return true;
     }
@@ -336,7 +337,7 @@
 
 task<io_outcome> upstream_connection::read_body(time_point deadline)
 {
-    if (this->input.empty())
+    if (!this->has_parsable_input())
     {
         const io_outcome end = co_await this->read_more(deadline);
         if (end != io_outcome::good)
@@ -358,11 +359,9 @@
     {
         co_return io_outcome::garbled;
     }
-    if (!this->parser->is_done() && !this->input.empty())
-    {
-        // A chunk header is incomplete: read the rest of it.
-        co_return co_await this->read_more(deadline);
-    }
+    // The end of a chunk is parsed together with the next one's header, which may come
+    // much later than the chunk's bytes.
+    this->incomplete_bytes = this->parser->is_done() ? 0 : this->input.size();
     co_return io_outcome::good;
 }
 
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -118,6 +118,10 @@
 
   private:
     task<io_outcome> read_more(time_point deadline);
+    [[nodiscard]] bool has_parsable_input() const noexcept
+    {
+        return this->input.size() > this->incomplete_bytes;
+    }
     /// Reads the rest of a response that nobody waits for.
     task<io_outcome> skip_body(time_point deadline);
     void drop_buffers() override;
@@ -129,6 +133,7 @@
     std::string peer;
     tcp_socket socket;
     std::string input;
+    std::size_t incomplete_bytes = 0; ///< Of `input`, which need more to be parsed.
     std::unique_ptr<response_parser> parser;
     std::uint64_t responses_read = 0; ///< Without interim ones.
     bool is_head_request = false;     ///< Method HEAD: the response has no body.
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -252,6 +252,28 @@
         check(sum(len(replica.runs) for replica in site.replicas_of("model", "decode")) <= 2)
 
 
+def test_each_event_is_relayed_before_the_next_one_is_made(build, directory):
+    """Guards against an event that waits for the bytes that follow its chunk."""
+    with start_site(build, directory) as site:
+        for replica in site.replicas_of("model", "decode"):
+            replica.silent_from = 2
+        headers = site.headers(Agateseam_Model="m", Agateseam_Token_Count="500,40",
+                               Content_Length="2")
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        with socket.create_connection(("127.0.0.1", site.entries[0].callers), 1) as caller:
+            caller.sendall(f"POST /draft/a HTTP/1.1\r\n{head}\r\n{{}}".encode())
+            received = b""
+            while b"id: 1\n" not in received:
+                received += caller.recv(65536)  # Times out after a second.
+
+
+def test_a_silent_stream_goes_on_at_another_replica(build, directory):
+    with start_site(build, directory) as site:
+        for replica in site.replicas_of("model", "decode"):
+            replica.silent_from = 3
+        check_complete_stream(site.request_stream("/resume/a"))
+
+
 def test_a_silent_stream_is_kept_while_no_other_server_has_a_place(build, directory):
     """Guards against a stream that is cut for its server's silence before another server has
     promised a place for the rest."""
