Streams go on only at the software version that began them

Cause: the version of a server was read by nothing, and what began a stream was known only to the entry that relayed it, while it did. Class: a part of a stream's identity is left behind when the stream moves. Ruled out: the prefill's version as a cause by itself (its events are the decode server's); it is kept to one version only for streams that have begun.

Change: a stream is bound to the version of its first event's server, for resumption inside the answer, replacement of silent servers and KV caches; it doesn't wait behind streams that any server can take. stream_origins: with the first event an entry tells four others, chosen by the stream's name; an entry whose caller takes a stream up (`Last-Event-Id`, `Resumes`) asks these, then eight more. Unknown, or no server of the version left: 503 at once, not run. Without `Resumes` a stream goes on only if the service had one version for as long as streams last. Streams begin where two servers of their version are listed, while one of them has room.

--- a/bench/decisions_main.cpp
+++ b/bench/decisions_main.cpp
@@ -157,7 +157,7 @@
     const auto bytes_before = mallinfo2().uordblks;
     entry_model entry(size);
     const auto kept_bytes = mallinfo2().uordblks - bytes_before;
-    const auto accept_all = [](const std::string&) { return true; };
+    const auto accept_all = [](const backend_server&) { return true; };
     const std::string encoded = encode_digest(entry.make_peer_digest(1));
     return {
         {"entries_and_servers", size},
--- a/include/agateseam/engine_placement.hpp
+++ b/include/agateseam/engine_placement.hpp
@@ -98,7 +98,7 @@
     ///
     /// \param domain the failure domain of this entry.
     /// \param draw a random number.
-    /// \param allowed takes a server's id and returns whether it may be chosen.
+    /// \param allowed takes a server and returns whether it may be chosen.
     template <typename Predicate>
     [[nodiscard]] std::shared_ptr<const backend_server>
     choose_decode(const stream_memory& stream, std::string_view domain, time_point now,
@@ -110,7 +110,7 @@
         stream_curve.add(stream, this->stream_tokens_per_second);
         for (auto& [id, state] : this->server_states)
         {
-            if (!this->accepts_decode(state, now) || !allowed(id))
+            if (!this->accepts_decode(state, now) || !allowed(*state.server))
             {
                 continue;
             }
@@ -138,7 +138,7 @@
     ///
     /// \param domain the failure domain of this entry.
     /// \param draw a random number.
-    /// \param allowed takes a server's id and returns whether it may be chosen.
+    /// \param allowed takes a server and returns whether it may be chosen.
     template <typename Predicate>
     [[nodiscard]] std::shared_ptr<const backend_server>
     choose_prefill(std::string_view domain, std::uint64_t draw, Predicate allowed) const
@@ -148,7 +148,7 @@
         for (const auto& [id, state] : this->server_states)
         {
             if (!state.listed || state.server->stage != engine_stage::prefill ||
-                !allowed(id))
+                !allowed(*state.server))
             {
                 continue;
             }
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -8,6 +8,7 @@
 #include <gateway/engine_calls.hpp>
 #include <gateway/entry_handlers.hpp>
 #include <gateway/memory_report_poller.hpp>
+#include <gateway/origin_exchange.hpp>
 #include <gateway/quarantine_keeper.hpp>
 #include <gateway/usage_recorder.hpp>
 #include <transport/caller_listener.hpp>
@@ -71,6 +72,8 @@
             return tl::unexpected<error>(exchange.error());
         }
         this->peers = std::move(*exchange);
+        this->stream_search =
+            std::make_unique<origin_exchange>(this->state, *this->peers);
         if (auto opened = this->listen(settings.peers, this->peer_requests); !opened)
         {
             return opened;
@@ -128,6 +131,10 @@
                  {{"servers", static_cast<std::int64_t>(servers.size())},
                   {"after_outage", after_outage}});
         this->state.directory.replace(std::move(servers), after_outage, boot_now());
+        if (after_outage)
+        {
+            this->state.versions.interrupt(boot_now());
+        }
         this->state.servers_known = true;
         this->state.publish_servers();
     }
@@ -165,6 +172,7 @@
     void on_store_reachability_changed(bool reached, std::string_view reason) override
     {
         this->state.store_reachable = reached;
+        this->state.versions.interrupt(boot_now());
         log_line(reached ? log_level::info : log_level::warning,
                  reached ? "platform store reached again" : "platform store out of reach",
                  {{"reason", reason}});
@@ -452,6 +460,7 @@
     std::unique_ptr<quarantine_keeper> keeper;
     peer_handler peer_requests;
     std::unique_ptr<peer_exchange> peers;
+    std::unique_ptr<origin_exchange> stream_search;
     std::unique_ptr<caller_listener> callers;
     std::vector<std::unique_ptr<caller_listener>> listeners;
     asio::basic_signal_set<loop_executor> signals;
--- a/src/gateway/entry_state.cpp
+++ b/src/gateway/entry_state.cpp
@@ -111,6 +111,15 @@
             this->health.set_incarnation(server->id, server->born_ms);
         }
     }
+    for (const auto& [service, servers] : *this->backends)
+    {
+        std::set<name_key> listed;
+        for (const auto& server : servers)
+        {
+            listed.insert(server->version_key());
+        }
+        this->versions.set_listed(service, std::move(listed), boot_now());
+    }
     if (!this->routing)
     {
         return;
@@ -122,6 +131,15 @@
             engine_service& known = this->engines(service.name);
             known.placement.set_properties(*service.engine);
             known.placement.set_servers(this->servers_of(service.name));
+            std::map<name_key, int> counts;
+            known.spare_versions.clear();
+            for (const auto& server : known.placement.decode_servers())
+            {
+                if (++counts[server->version_key()] > 1)
+                {
+                    known.spare_versions.insert(server->version_key());
+                }
+            }
             known.capacity_changed.notify();
         }
     }
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -23,6 +23,7 @@
 #include <agateseam/server_health_tracker.hpp>
 #include <agateseam/server_limiter.hpp>
 #include <agateseam/stop_schedule.hpp>
+#include <agateseam/stream_origins.hpp>
 #include <agateseam/usage_account.hpp>
 #include <agateseam/waiting_queue.hpp>
 #include <gateway/backend_dialect.hpp>
@@ -47,6 +48,8 @@
     model_latency_estimator latency;
     output_length_estimator output_lengths;
     wake_signal capacity_changed; ///< Notified when decode capacity may be free.
+    /// Versions of which a second decode server could go on with a stream of the first.
+    std::set<name_key> spare_versions;
 };
 
 /// \brief The state of one entry.
@@ -115,6 +118,13 @@
     part_quarantine quarantine;
     /// Claims the next trial of a block for this entry; false when it can't be had.
     std::function<task<bool>(part_block)> claim_trial;
+    stream_origins origins;
+    version_history versions;
+    /// Tells other entries which version began a stream.
+    std::function<void(name_key stream, name_key version)> announce_stream;
+    /// Returns the version that began a stream, if this entry or those that should know
+    /// it do.
+    std::function<task<std::optional<name_key>>(name_key stream)> find_stream_origin;
     upstream_pool pool;
     entry_counters counters;
     usage_account usage;
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -56,6 +56,7 @@
         , properties(*request.routing->service(request.service)->engine)
         , place_search(request)
         , prefiller(request)
+        , stream(request.metadata.id)
     {
         this->last_event_number = request.metadata.last_event_number;
     }
@@ -64,10 +65,22 @@
     {
         if (this->last_event_number)
         {
+            const bool is_known = co_await this->find_beginning();
             log_line(log_level::info, "stream taken up",
                      {{"request", this->scope->metadata.id},
                       {"begun_by", this->scope->metadata.resumed_request},
-                      {"last_event", *this->last_event_number}});
+                      {"last_event", *this->last_event_number},
+                      {"version", to_hex(this->version.value_or(name_key{}))}});
+            if (!is_known || !this->place_search.has_server_of_version())
+            {
+                co_await send_local_answer(
+                    *this->scope,
+                    {status_unavailable,
+                     is_known ? "no_server_of_version" : "stream_version_unknown",
+                     execution_state::not_run,
+                     {}});
+                co_return;
+            }
         }
         if (const part_block* block = this->scope->part_block_in_force())
         {
@@ -115,6 +128,70 @@
                                                : retry_decision::report_unknown;
     }
 
+    /// Finds the version that began the stream that the caller takes up.
+    /// \returns false if it isn't known.
+    task<bool> find_beginning()
+    {
+        const request_metadata& metadata = this->scope->metadata;
+        if (!metadata.resumed_request.empty())
+        {
+            this->stream = name_key(metadata.resumed_request);
+            this->version = co_await this->state->find_stream_origin(this->stream);
+        }
+        if (!this->version && this->state->store_reachable)
+        {
+            this->version = this->state->versions.only_version(
+                this->scope->service,
+                std::max<duration>(stream_origins::memory, this->scope->route->timeout),
+                boot_now());
+        }
+        if (this->version)
+        {
+            this->place_search.set_version(*this->version);
+        }
+        co_return this->version.has_value();
+    }
+
+    /// Binds the stream to the version of its first event's server, and tells other
+    /// entries, who may have to go on with it.
+    void record_version(const backend_server& server)
+    {
+        if (!this->version && !this->is_version_unknown)
+        {
+            const name_key key = server.version_key();
+            this->is_version_unknown = key == name_key{};
+            this->version = this->is_version_unknown ? std::nullopt : std::optional(key);
+            if (this->version)
+            {
+                this->place_search.set_version(*this->version);
+            }
+        }
+        const time_point now = boot_now();
+        if (this->version && this->scope->route->resumable &&
+            (this->announced_at == time_point{} ||
+             now - this->announced_at >= stream_origins::announce_interval))
+        {
+            this->announced_at = now;
+            this->state->announce_stream(this->stream, *this->version);
+        }
+    }
+
+    /// Tells whether a server may go on with the stream, if it has begun.
+    [[nodiscard]] bool may_go_on() const
+    {
+        return !this->is_version_unknown && this->place_search.has_server_of_version();
+    }
+
+    /// Notes that a server is listed as another start of it, so that the version of its
+    /// events isn't known.
+    void check_restart(const backend_server& server)
+    {
+        const auto listed = this->state->server(this->scope->service, server.id);
+        this->is_version_unknown |=
+            this->version && listed &&
+            (listed->version != server.version || listed->born_ms != server.born_ms);
+    }
+
     /// Reserves decode memory, has the prompt prefilled and relays the stream.
     task<retry_decision> start_attempt()
     {
@@ -131,10 +208,16 @@
         }
         this->scope->step = "prefill";
         std::string kv_source = std::exchange(this->unused_kv_source, "");
+        if (!kv_source.empty() && this->version &&
+            !(this->prefiller.kv_server()->version_key() == *this->version))
+        {
+            this->release_kv_cache(std::exchange(kv_source, ""));
+        }
         // A trial is one arrival at one server, so the decode server reads the prompt.
         if (kv_source.empty() && !this->scope->is_trial)
         {
-            kv_source = co_await this->prefiller.run(this->last_event_number);
+            kv_source =
+                co_await this->prefiller.run(this->last_event_number, this->version);
         }
         if (this->is_caller_gone())
         {
@@ -383,6 +466,7 @@
         link.close();
         if (end == stream_end::broken)
         {
+            this->check_restart(place.chosen_server());
             record_observation(*this->state, place.chosen_server().id,
                                server_observation::unreachable, 0ms);
             log_failure(*this->scope, "stream broke", place.chosen_server().id,
@@ -481,6 +565,7 @@
             }
             this->last_event_at = now;
             this->attempt_event_at = this->attempt_event_at.value_or(now);
+            this->record_version(place.chosen_server());
         }
         if (this->has_begun())
         {
@@ -522,7 +607,7 @@
     task<bool> reserve_replacement(const decode_place& place)
     {
         if (this->scope->possible_runs + 1 >= this->scope->route->max_attempts ||
-            this->scope->part_block_in_force() != nullptr ||
+            this->scope->part_block_in_force() != nullptr || !this->may_go_on() ||
             this->time_remaining() <= min_model_attempt_time)
         {
             co_return false;
@@ -558,9 +643,9 @@
                        : retry_decision::report_not_run;
         }
         const service_route& route = *this->scope->route;
-        if (route.resumable &&
-            this->scope->possible_runs<route.max_attempts&& this->time_remaining()>
-                min_model_attempt_time)
+        const bool has_time = this->time_remaining() > min_model_attempt_time;
+        if (route.resumable && this->may_go_on() && has_time &&
+            this->scope->possible_runs < route.max_attempts)
         {
             return retry_decision::try_another;
         }
@@ -646,6 +731,10 @@
     prompt_prefiller prefiller;
     sse_event_splitter events;
     std::optional<std::int64_t> last_event_number;
+    name_key stream;                 ///< The caller's try that brought the first event.
+    std::optional<name_key> version; ///< Of the servers that may go on with the stream.
+    bool is_version_unknown = false; ///< The stream has begun at an unknown version.
+    time_point announced_at{};
     std::uint32_t requests_sent = 0;  ///< Requests sent to decode servers.
     bool has_reserved_repeat = false; ///< Taken before a silent stream was ended.
     std::unique_ptr<decode_place> replacement; ///< For the rest of a silent stream.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -118,6 +118,30 @@
     return peer == this->peers.end() ? "" : to_text(peer->second);
 }
 
+std::vector<std::string> peer_exchange::entry_names() const
+{
+    std::vector<std::string> names;
+    std::vector<std::string> seeds;
+    for (const auto& [name, peer] : this->peers)
+    {
+        // The key of a seed is its address until its name is known.
+        (name.find(':') == std::string::npos ? names : seeds).push_back(name);
+    }
+    return names.empty() ? seeds : names;
+}
+
+asio::ip::udp::endpoint peer_exchange::endpoint_of(const std::string& entry) const
+{
+    const auto peer = this->peers.find(entry);
+    return peer == this->peers.end() ? asio::ip::udp::endpoint{} : peer->second;
+}
+
+void peer_exchange::send(const std::string& datagram, const asio::ip::udp::endpoint& to)
+{
+    io_error ignored; // Its sender doesn't rely on it.
+    this->socket.send_to(asio::buffer(datagram), to, 0, ignored);
+}
+
 void peer_exchange::stop()
 {
     this->stopped = true;
@@ -273,6 +297,10 @@
 void peer_exchange::handle_datagram(std::string_view datagram,
                                     const asio::ip::udp::endpoint& from)
 {
+    if (this->on_origin && this->on_origin(datagram, from))
+    {
+        return;
+    }
     const auto digest = decode_digest(datagram);
     if (!digest)
     {
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -31,6 +31,21 @@
     /// \brief Replaces the known entries by those that the platform lists.
     void set_entries(const std::vector<registered_entry>& entries);
 
+    /// \brief Sets who receives the datagrams about streams.
+    /// \param callback returns false for other datagrams.
+    void set_origin_callback(
+        std::function<bool(std::string_view, const asio::ip::udp::endpoint&)> callback)
+    {
+        this->on_origin = std::move(callback);
+    }
+
+    /// \brief Returns the names of the other entries; only their addresses, when no name
+    /// is known yet.
+    [[nodiscard]] std::vector<std::string> entry_names() const;
+    [[nodiscard]] asio::ip::udp::endpoint endpoint_of(const std::string& entry) const;
+    /// \brief Sends a datagram, which may be lost.
+    void send(const std::string& datagram, const asio::ip::udp::endpoint& to);
+
     /// \brief Returns another entry's address; empty when it isn't known.
     [[nodiscard]] std::string address_of(const std::string& entry) const;
 
@@ -56,6 +71,7 @@
     entry_state* state;
     platform_link* link;
     newer_configuration_callback on_newer_configuration;
+    std::function<bool(std::string_view, const asio::ip::udp::endpoint&)> on_origin;
     udp_socket socket;
     wake_signal digest_received; ///< Notified when a digest arrives.
     /// Addresses by entry name. A seed's key is its address; its name comes with a
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -80,8 +80,13 @@
     const waiting_request waiting{this->scope->priority(), arrived,
                                   arrived + target_latency -
                                       this->engines->latency.expected_first_event_time()};
-    waiting_queue::ticket ticket = this->engines->queue.enqueue(waiting);
-    this->is_queued = true;
+    const bool is_bound = this->version.has_value();
+    waiting_queue::ticket ticket{};
+    if (!is_bound)
+    {
+        ticket = this->engines->queue.enqueue(waiting);
+        this->is_queued = true;
+    }
     bool is_announced = false; // Whether the other entries were told that it waits.
     while (!this->scope->exchange->disconnected())
     {
@@ -90,14 +95,15 @@
             !this->scope->is_key_valid() ||
             this->scope->part_block_in_force() != nullptr ||
             this->state->time_all_busy(this->scope->service, now) ||
-            now + this->expected_wait() > wait_until ||
+            !this->has_server_of_version() ||
+            (!is_bound && now + this->expected_wait() > wait_until) ||
             this->scope->may_not_start(now + this->expected_wait()))
         {
             break;
         }
         std::shared_ptr<const backend_server> server;
-        if (this->engines->queue.front(now) == ticket &&
-            this->engines->others_waiting.allows(rank_of(waiting, now)))
+        if (is_bound || (this->engines->queue.front(now) == ticket &&
+                         this->engines->others_waiting.allows(rank_of(waiting, now))))
         {
             this->engines->placement.set_competing_entries(
                 this->engines->others_waiting.competitors(rank_of(waiting, now)));
@@ -117,8 +123,7 @@
             continue;
         }
         this->state->health.record_choice(server->id, now);
-        this->engines->queue.remove(ticket);
-        this->is_queued = false;
+        this->leave_queue(ticket);
         auto place =
             std::make_unique<decode_place>(*this->engines, server, this->expected_memory);
         this->state->digest_due.notify();
@@ -139,11 +144,13 @@
         place.reset();
         ++this->reservations_refused;
         this->engines->placement.record_refusal(server->id, boot_now());
-        ticket = this->engines->queue.enqueue(waiting);
-        this->is_queued = true;
+        if (!is_bound)
+        {
+            ticket = this->engines->queue.enqueue(waiting);
+            this->is_queued = true;
+        }
     }
-    this->engines->queue.remove(ticket);
-    this->is_queued = false;
+    this->leave_queue(ticket);
     this->scope->queue_time = boot_now() - arrived;
     this->engines->capacity_changed.notify();
     this->log_not_reserved(this->scope->exchange->disconnected()    ? "caller gone"
@@ -152,10 +159,19 @@
                                ? "blocked parts"
                            : this->state->time_all_busy(this->scope->service, boot_now())
                                ? "all servers rest"
-                               : "no memory in time");
+                           : !this->has_server_of_version() ? "no server of its version"
+                                                            : "no memory in time");
     co_return nullptr;
 }
 
+void place_finder::leave_queue(waiting_queue::ticket ticket)
+{
+    if (std::exchange(this->is_queued, false))
+    {
+        this->engines->queue.remove(ticket);
+    }
+}
+
 void place_finder::log_reserved(const backend_server& server) const
 {
     log_line(log_level::info, "decode place reserved",
@@ -216,18 +232,43 @@
 
 std::shared_ptr<const backend_server> place_finder::choose(time_point now,
                                                            std::string_view excluded)
+{
+    auto server = this->version || this->engines->spare_versions.empty()
+                      ? nullptr
+                      : this->choose(now, excluded, true);
+    return server ? server : this->choose(now, excluded, false);
+}
+
+std::shared_ptr<const backend_server>
+place_finder::choose(time_point now, std::string_view excluded, bool needs_spare)
 {
     return this->engines->placement.choose_decode(
         this->expected_memory, this->state->settings.failure_domain, now,
         this->state->random(),
-        [this, now, excluded](const std::string& id)
+        [this, now, excluded, needs_spare](const backend_server& server)
         {
-            return id != excluded && this->state->health.allowed(id, now) &&
-                   this->state->limit_wait(id, now) <= duration::zero() &&
-                   this->state->health.return_delay_left(id, now) <= duration::zero();
+            const bool is_of_version =
+                this->version
+                    ? server.version_key() == *this->version
+                    : !needs_spare ||
+                          this->engines->spare_versions.contains(server.version_key());
+            return is_of_version && server.id != excluded &&
+                   this->state->health.allowed(server.id, now) &&
+                   this->state->limit_wait(server.id, now) <= duration::zero() &&
+                   this->state->health.return_delay_left(server.id, now) <=
+                       duration::zero();
         });
 }
 
+bool place_finder::has_server_of_version() const
+{
+    const auto servers = this->engines->placement.decode_servers();
+    return !this->version ||
+           std::any_of(servers.begin(), servers.end(),
+                       [this](const auto& server)
+                       { return server->version_key() == *this->version; });
+}
+
 /// Returns the memory for the prompt and the first events, in tokens. No more is
 /// reserved, because the server counts a reservation's size for as long as the stream
 /// runs.
--- a/src/gateway/place_finder.hpp
+++ b/src/gateway/place_finder.hpp
@@ -19,6 +19,13 @@
   public:
     explicit place_finder(request_scope& request);
 
+    /// \brief Allows only servers of one version, as the stream has begun there. It then
+    /// doesn't wait behind streams that other servers can take.
+    void set_version(name_key required) { this->version = required; }
+
+    /// \brief Tells whether a decode server of the required version may be used.
+    [[nodiscard]] bool has_server_of_version() const;
+
     /// \brief Tells whether any server is large enough for the request.
     [[nodiscard]] bool can_ever_fit() const;
 
@@ -52,9 +59,13 @@
   private:
     [[nodiscard]] std::shared_ptr<const backend_server>
     choose(time_point now, std::string_view excluded = {});
+    /// \param needs_spare whether another server must be able to go on with the stream.
+    [[nodiscard]] std::shared_ptr<const backend_server>
+    choose(time_point now, std::string_view excluded, bool needs_spare);
     [[nodiscard]] time_point max_wait_end() const;
     [[nodiscard]] std::int64_t initial_tokens() const;
     task<bool> reserve(decode_place& place);
+    void leave_queue(waiting_queue::ticket ticket);
     void log_reserved(const backend_server& server) const;
     void log_not_reserved(std::string_view reason) const;
 
@@ -63,6 +74,7 @@
     engine_service* engines;
     engine_properties properties;
     stream_memory expected_memory;
+    std::optional<name_key> version; ///< The only one that may be used.
     time_point reserved_at{};
     bool is_queued = false;
     std::uint32_t reservations_refused = 0;
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -24,7 +24,8 @@
 {
 }
 
-task<std::string> prompt_prefiller::run(std::optional<std::int64_t> last_event_number)
+task<std::string> prompt_prefiller::run(std::optional<std::int64_t> last_event_number,
+                                        std::optional<name_key> version)
 {
     std::vector<std::string> tried;
     for (std::uint32_t attempt = 0;
@@ -32,7 +33,7 @@
          boot_now() < this->scope->deadline;
          ++attempt)
     {
-        const auto candidate = this->choose(tried);
+        const auto candidate = this->choose(tried, version);
         if (!candidate || this->scope->part_block_in_force() != nullptr ||
             !this->may_call_server())
         {
@@ -50,14 +51,17 @@
 }
 
 std::shared_ptr<const backend_server>
-prompt_prefiller::choose(const std::vector<std::string>& tried) const
+prompt_prefiller::choose(const std::vector<std::string>& tried,
+                         std::optional<name_key> version) const
 {
     const time_point now = boot_now();
     return this->engines->placement.choose_prefill(
         this->state->settings.failure_domain, this->state->random(),
-        [this, now, &tried](const std::string& id)
+        [this, now, &tried, version](const backend_server& candidate)
         {
-            return std::find(tried.begin(), tried.end(), id) == tried.end() &&
+            const std::string& id = candidate.id;
+            return (!version || candidate.version_key() == *version) &&
+                   std::find(tried.begin(), tried.end(), id) == tried.end() &&
                    this->state->health.allowed(id, now) &&
                    this->state->limit_wait(id, now) <= duration::zero() &&
                    this->state->health.return_delay_left(id, now) <= duration::zero();
--- a/src/gateway/prompt_prefiller.hpp
+++ b/src/gateway/prompt_prefiller.hpp
@@ -20,7 +20,9 @@
     /// \brief Has the prompt prefilled.
     /// \returns "IP:port/handle" of the KV cache, or an empty text if no server did it.
     /// The decode server then processes the prompt itself, more slowly.
-    task<std::string> run(std::optional<std::int64_t> last_event_number);
+    /// \param version the only one that may be used, if the stream has begun.
+    task<std::string> run(std::optional<std::int64_t> last_event_number,
+                          std::optional<name_key> version);
 
     /// \brief Returns the server that holds the prompt's KV cache, or null.
     [[nodiscard]] std::shared_ptr<const backend_server> kv_server() const
@@ -30,7 +32,7 @@
 
   private:
     [[nodiscard]] std::shared_ptr<const backend_server>
-    choose(const std::vector<std::string>& tried) const;
+    choose(const std::vector<std::string>& tried, std::optional<name_key> version) const;
     /// Takes a repeat from the budget, except for the first call of a request.
     [[nodiscard]] bool may_call_server();
     task<std::string> prefill_on(std::shared_ptr<const backend_server> candidate,
--- a/tests/site/mixed_version_test.py
+++ b/tests/site/mixed_version_test.py
@@ -147,7 +147,7 @@
         self.stop_callers()
         mixed = [stream for stream in self.streams if stream.is_mixed]
         check(len(mixed) <= MAX_MIXED, "mixed", len(mixed), "of", len(self.streams),
-              mixed[0].versions)
+              [stream.versions for stream in mixed[:1]])
         for stream in self.streams:
             check(stream.events == list(range(1, len(stream.events) + 1)), stream.events)
         broken = [stream for stream in self.streams if stream.broke_at]
@@ -247,6 +247,36 @@
         check(all(seconds < 0.6 for _, seconds in refusals), refusals)
 
 
+def test_streams_begin_where_another_replica_can_go_on(build, directory):
+    with Drill(build, directory, versions=("v1", "v1", "v2")) as drill:
+        source = random.Random(1)
+        for _ in range(8):
+            check(Stream(drill.site, source).follow().versions[0] == "v1")
+        for replica in drill.decode[:2]:
+            drill.remove(replica)
+        wait_for(lambda: all(len(entry.log_lines("backend server gone")) >= 2
+                             for entry in drill.site.entries), "the removal")
+        check(Stream(drill.site, source).follow().versions == ["v2"] * EVENTS)
+
+
+def test_a_stream_whose_version_is_gone_is_refused_at_once(build, directory):
+    with Drill(build, directory, versions=("v1", "v2", "v2")) as drill:
+        source = random.Random(1)
+        streams = [Stream(drill.site, source) for _ in range(12)]
+        threads = [threading.Thread(target=stream.follow) for stream in streams]
+        for thread in threads:
+            thread.start()
+        wait_for(lambda: all(len(stream.events) > 3 for stream in streams), "streams")
+        for replica in drill.decode[1:]:
+            drill.remove(replica)
+        for thread in threads:
+            thread.join()
+        refusals = [refusal for stream in streams for refusal in stream.refusals]
+        check(refusals and all(status == 503 and seconds < 0.3 for status, seconds in refusals),
+              refusals)
+        check(not any(stream.is_mixed for stream in streams))
+
+
 def test_a_stream_without_its_beginning_goes_on_only_at_the_one_version(build, directory):
     """A caller that doesn't say which of its tries began the stream."""
     with Drill(build, directory) as drill:
--- a/tests/unit/engine_placement_test.cpp
+++ b/tests/unit/engine_placement_test.cpp
@@ -43,7 +43,7 @@
     return engines;
 }
 
-const auto allow_all = [](const std::string&) { return true; };
+const auto allow_all = [](const backend_server&) { return true; };
 
 stream_memory make_stream(std::int64_t prompt_tokens, double median)
 {
@@ -158,7 +158,7 @@
     CHECK(engines.choose_prefill("a", 0, allow_all)->id == "p2");
     engines.end_prefill("p1", 5'000);
     CHECK(engines.choose_prefill("a", 0, allow_all)->id == "p1");
-    CHECK(!engines.choose_prefill("a", 0, [](const std::string&) { return false; }));
+    CHECK(!engines.choose_prefill("a", 0, [](const backend_server&) { return false; }));
 }
 
 TEST_CASE("entries without a prompt under way spread their prompts over equal servers")
