Soak: repeated requests and versions as troubles; excuses for the one entry only

New kinds: a plain request that comes again and crashes the servers that run it, and decode servers that come back with another version; every stream's events must be of one version. The checks of BUDGET and LIMIT passed over a run if any entry was stopped, killed or frozen around it. Now an arrival is excused only if it came from the entry that was, within the rule's window; a call without a request's id (reservations, reports) can't be told apart and is excused as before.

--- a/fakes/site_callers.py
+++ b/fakes/site_callers.py
@@ -44,6 +44,7 @@
         self.outcomes = []
         self.stopping = False
         self.crashing_part = None  # A part of some of the model requests' prompts.
+        self.crashing_path = None  # A path of some of the plain requests.
         self.tasks = []
 
     def start(self):
@@ -80,6 +81,8 @@
         is_open, is_reused = True, False
         while is_open and not self.stopping:
             path, tokens = self.random.choice(self.kinds)
+            if self.crashing_path and not tokens and self.random.random() < 0.2:
+                path = self.crashing_path
             request_id = f"c{next(Callers.id_numbers):08x}"
             outcome = Outcome(request_id, path, entry, time.monotonic(), is_reused)
             self.outcomes.append(outcome)
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -22,6 +22,7 @@
 from platform_site import route, wait_for  # noqa: E402
 from site_callers import Callers  # noqa: E402
 from crash_test import CRASHES_BEFORE_BLOCK, MAX_ARRIVALS, prompt_of  # noqa: E402
+import repeat_test  # noqa: E402
 from endless_test import KINDS as ENDLESS_KINDS, endless, peak_memory_mb  # noqa: E402
 from limit_test import WINDOW_S, allowed  # noqa: E402
 
@@ -54,6 +55,7 @@
             self.site.add_replica("model", stage=stage)
         for replica in self.site.replicas_of("model", "decode"):
             replica.event_count, replica.event_delay_s = STREAM_EVENTS, 0.05
+            replica.shows_version = True
         self.version = 1
         self.routes = configuration(1)["routes"]
         for item in self.routes:
@@ -64,8 +66,9 @@
         self.stops = []  # (entry, time of SIGTERM, time at which it was gone)
         self.unplanned = []  # (begin, end) of what excuses a lost answer
         self.freezes = []  # (entry name, begin, end)
-        self.out_of_touch = []  # (begin, end) of kills and freezes of an entry
+        self.out_of_touch = []  # (entry, begin, end) of kills and freezes
         self.crashing_parts = {}  # Times of the crashes under each part.
+        self.crashing_paths = {}  # Times of the crashes under each repeated request.
         self.limits = []  # (replica, requests a second, begin, end)
         self.leaving = {}  # Time at which the store listed a server as leaving, by its id.
         self.faults = []
@@ -162,12 +165,13 @@
         began = time.monotonic()
         await self.trouble(self.random.uniform(0.1, 1), entry.end, lambda: None)
         process.wait()
-        self.out_of_touch.append((began, time.monotonic()))
+        self.out_of_touch.append((number, began, time.monotonic()))
         if entry.process is process:
             entry.start()
 
     async def freeze_entry(self):
-        entry = self.random.choice(self.site.entries)
+        number = self.random.randrange(len(self.site.entries))
+        entry = self.site.entries[number]
         self.note(f"freeze {entry.name}")
         began = time.monotonic()
         span = [entry.name, began, float("inf")]
@@ -175,7 +179,7 @@
         await self.trouble(self.random.uniform(0.5, 3), lambda: entry.end(signal.SIGSTOP),
                            lambda: entry.end(signal.SIGCONT))
         span[2] = time.monotonic()
-        self.out_of_touch.append((began, span[2]))
+        self.out_of_touch.append((number, began, span[2]))
 
     async def lose_store(self):
         mode = self.random.choice(["silent", "busy", "reset"])
@@ -284,6 +288,43 @@
         await self.trouble(8, lambda: set_part(part, crash), lambda: set_part(None, None))
         await asyncio.gather(*running)
 
+    async def repeat_request(self):
+        """A plain request that comes again and again crashes the servers that run it."""
+        if self.callers.crashing_path:
+            return
+        path = f"/safe/bad{len(self.crashing_paths)}"
+        self.note(f"request {path} crashes servers")
+        crashes = self.crashing_paths.setdefault(path, [])
+        running = []
+
+        async def crash(replica, request, _reader, _writer):
+            if request.target != path:
+                return None
+            if replica.listener.is_serving():
+                crashes.append(time.monotonic())
+                running.append(asyncio.ensure_future(replica.crash(self.site, 0.5)))
+            return False
+
+        def set_path(value, handler):
+            self.callers.crashing_path = value
+            for replica in self.site.replicas_of("plain"):
+                replica.handler = handler
+        await self.trouble(8, lambda: set_path(path, crash), lambda: set_path(None, None))
+        await asyncio.gather(*running)
+
+    async def update_version(self):
+        """A decode server ends and comes back with another version of its software."""
+        replica = self.random.choice(self.site.replicas_of("model", "decode"))
+        if not replica.listener.is_serving():
+            return
+        replica.version = self.random.choice(["v1", "v2", "v3"])
+        self.note(f"server {replica.id} becomes {replica.version}")
+        begin = time.monotonic()
+        span = [begin, float("inf")]
+        self.unplanned.append(span)
+        await replica.crash(self.site, self.random.uniform(0.1, 1))
+        span[1] = time.monotonic()
+
     async def limit_server(self):
         replica = self.random.choice(self.site.replicas)
         if replica.limit_per_s is not None:
@@ -309,7 +350,8 @@
                    self.reload_settings, self.leave, self.slow_servers]
         unplanned = [self.kill_entry, self.freeze_entry, self.lose_store, self.compact_store,
                      self.fail_runs, self.refuse_runs, self.break_streams,
-                     self.crash_servers, self.limit_server, self.send_without_end,
+                     self.crash_servers, self.repeat_request, self.update_version,
+                     self.update_version, self.limit_server, self.send_without_end,
                      self.reset_connections, self.answer_twice]
         kinds = planned if self.planned else planned + unplanned
         running = []
@@ -340,12 +382,14 @@
     def check_body(self, outcome):
         if outcome.status != 200 or not outcome.complete:
             return
-        if outcome.path in ("/safe/a", "/once/a"):
+        if outcome.path.startswith(("/safe/", "/once/")):
             is_right = outcome.body == f"body of {outcome.id}".encode()
         else:
-            expected = b"".join(b"id: %d\ndata: %s.%d\n\n" % (number, outcome.id.encode(), number)
-                                for number in range(1, STREAM_EVENTS + 1))
-            is_right = outcome.body == expected
+            is_right = outcome.body in [
+                b"".join(b"id: %d\ndata: %s.%d.%s\n\n" % (number, outcome.id.encode(), number,
+                                                         version)
+                         for number in range(1, STREAM_EVENTS + 1))
+                for version in (b"v1", b"v2", b"v3")]
         if not is_right:
             self.faults.append(f"MIXED or ORDER {outcome} {outcome.body!r}")
 
@@ -363,30 +407,36 @@
             if outcome.path in ("/once/a", "/draft/a") and runs.get(outcome.id, 0) > 1:
                 self.faults.append(f"TWICE {outcome} {runs[outcome.id]} runs")
 
-    def entries_are_out_of_touch(self, begin, end):
-        """Tells whether an entry was stopped, killed or frozen within a time."""
-        spans = self.out_of_touch + [(start, gone) for _, start, gone in self.stops]
-        return any(start < end and gone + STABLE_WINDOW_S > begin for start, gone in spans)
-
-    def check_crashing_parts(self):
-        for part, crashes in self.crashing_parts.items():
-            if len(crashes) < CRASHES_BEFORE_BLOCK:
+    def arrivals_in_touch(self, requests, entry_of):
+        """Returns the arrivals from entries that weren't stopped, killed or frozen then. A call
+        without a request's id may come from any entry."""
+        spans = self.out_of_touch + self.stops
+        return [request for request in requests if not any(
+            number == entry_of.get(request.id, number)
+            and start < request.arrived < gone + STABLE_WINDOW_S
+            for number, start, gone in spans)]
+
+    def check_crashes(self, kinds, crashes_before_block, is_caused_by, entry_of):
+        for cause, crashes in kinds.items():
+            if len(crashes) < crashes_before_block:
                 continue
-            begin = crashes[CRASHES_BEFORE_BLOCK - 1] + STABLE_WINDOW_S
-            late = [request for replica in self.site.replicas for request in replica.requests
-                    if part in prompt_of(request) and request.arrived > begin]
-            if len(late) > MAX_ARRIVALS and not self.entries_are_out_of_touch(
-                    crashes[0], late[-1].arrived):
-                self.faults.append(f"BUDGET {len(late)} arrivals with {part}, "
+            begin = crashes[crashes_before_block - 1] + STABLE_WINDOW_S
+            late = self.arrivals_in_touch(
+                [request for replica in self.site.replicas for request in replica.requests
+                 if request.arrived > begin and is_caused_by(request, cause)], entry_of)
+            if len(late) > MAX_ARRIVALS:
+                self.faults.append(f"BUDGET {len(late)} arrivals with {cause}, "
                                    f"{len(crashes)} crashes")
 
-    def check_limits(self):
+    def check_limits(self, entry_of):
         for replica, limit, begin, end in self.limits:
-            times = sorted(request.arrived for request in replica.requests
-                           if begin + STABLE_WINDOW_S <= request.arrived <= end)
+            requests = [request for request in replica.requests
+                        if begin + STABLE_WINDOW_S <= request.arrived <= end]
+            times = sorted(request.arrived
+                           for request in self.arrivals_in_touch(requests, entry_of))
             for first in times:
                 seen = sum(1 for moment in times if first <= moment < first + WINDOW_S)
-                if seen > allowed(limit) and not self.entries_are_out_of_touch(begin, end):
+                if seen > allowed(limit):
                     self.faults.append(f"LIMIT {seen} requests at {replica.id}, limit {limit}")
                     break
 
@@ -435,8 +485,12 @@
             self.check_rest()
             self.check_outcomes(outcomes)
             self.check_leaving()
-            self.check_crashing_parts()
-            self.check_limits()
+            entry_of = {outcome.id: outcome.entry for outcome in outcomes}
+            self.check_crashes(self.crashing_parts, CRASHES_BEFORE_BLOCK,
+                               lambda request, part: part in prompt_of(request), entry_of)
+            self.check_crashes(self.crashing_paths, repeat_test.CRASHES_BEFORE_BLOCK,
+                               lambda request, path: request.target == path, entry_of)
+            self.check_limits(entry_of)
             self.check_memory()
             return len(outcomes)
         finally:
