The limiter's tests hold the users' bound, but where every entry is cut off

The bound had been widened by one request for each entry where all are cut from each other, and by 4 where one restarts each second. The rule excuses a machine that is cut off, which all are in that case: the bound of one request an entry stays for it alone.

--- a/tests/unit/server_limiter_test.cpp
+++ b/tests/unit/server_limiter_test.cpp
@@ -236,7 +236,10 @@
             site.advance(8s);
             site.divide(1);
             site.advance(5s);
-            const double excused = parts == size ? static_cast<double>(size) : 0;
+            // The rule excuses an entry that is cut off; here all are. Each of them may
+            // send one request before it knows.
+            const bool is_excused = size == 100 && parts == size;
+            const double excused = is_excused ? static_cast<double>(size) : 0;
             CHECK(static_cast<double>(site.busiest_window(since)) <=
                   allowed_requests(3.8) + excused);
         }
@@ -253,7 +256,7 @@
         site.restart(round % 6);
         site.advance(1s);
     }
-    CHECK(static_cast<double>(site.busiest_window(since)) <= allowed_requests(3.8) + 4);
+    CHECK(static_cast<double>(site.busiest_window(since)) <= allowed_requests(3.8));
 }
 
 TEST_CASE("a limit ends when answers name none, and a late answer doesn't end it")
