Quarantine: parts with too few crashes aren't examined

A crash weighs at most one, so a part with fewer than three can't be blocked and needs no look. No decision changes; unit tests as before. Not measured.

--- a/include/agateseam/part_quarantine.hpp
+++ b/include/agateseam/part_quarantine.hpp
@@ -250,8 +250,7 @@
                                                bool is_of_parts) const;
     [[nodiscard]] candidate make_candidate(name_key part,
                                            const server_set& servers) const;
-    /// Returns the servers that ended at about the same time as others under which the
-    /// part wasn't.
+    /// Tells whether a server other than these ended at about a time.
     [[nodiscard]] bool has_other_end(const server_set& servers, time_point time) const;
     /// Tells whether the same crashes implicate two suspects.
     [[nodiscard]] static bool is_alike(const candidate& left, const candidate& right);
--- a/src/core/part_quarantine_evaluation.cpp
+++ b/src/core/part_quarantine_evaluation.cpp
@@ -178,6 +178,10 @@
     std::vector<candidate> candidates;
     for (const auto& [part, servers] : open)
     {
+        if (servers.size() < min_crashes)
+        {
+            continue; // No crash weighs more than one.
+        }
         candidate suspect = this->make_candidate(part, servers);
         if (suspect.crash_weight >= static_cast<double>(min_crashes))
         {
