The key of a server's version is made once, when it is listed

Found on the last read: each look for a decode place made the key of each server's version anew, and each turn of a waiting request copied the list of decode servers to find nothing bound it. No decision changes; unit tests and mixed_version_test pass. Not measured.

--- a/include/agateseam/backend_directory.hpp
+++ b/include/agateseam/backend_directory.hpp
@@ -37,14 +37,7 @@
     bool leaving = false;      ///< The server shuts down and takes no new work.
     std::uint64_t born_ms = 0; ///< Start time in Unix milliseconds; 0 when unknown.
     std::string version;       ///< Of its software; empty when unknown.
-
-    /// \brief Returns a key of the service and the version; the empty key when the
-    /// version is unknown.
-    [[nodiscard]] name_key version_key() const
-    {
-        return this->version.empty() ? name_key{}
-                                     : name_key(this->service + "\n" + this->version);
-    }
+    name_key version_key;      ///< Of the service and the version; empty when unknown.
 };
 
 /// The servers that may be given work, by service; immutable.
--- a/src/gateway/entry_state.cpp
+++ b/src/gateway/entry_state.cpp
@@ -116,7 +116,7 @@
         std::set<name_key> listed;
         for (const auto& server : servers)
         {
-            listed.insert(server->version_key());
+            listed.insert(server->version_key);
         }
         this->versions.set_listed(service, std::move(listed), boot_now());
     }
@@ -135,9 +135,9 @@
             known.spare_versions.clear();
             for (const auto& server : known.placement.decode_servers())
             {
-                if (++counts[server->version_key()] > 1)
+                if (++counts[server->version_key] > 1)
                 {
-                    known.spare_versions.insert(server->version_key());
+                    known.spare_versions.insert(server->version_key);
                 }
             }
             known.capacity_changed.notify();
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -158,7 +158,7 @@
     {
         if (!this->version && !this->is_version_unknown)
         {
-            const name_key key = server.version_key();
+            const name_key key = server.version_key;
             this->is_version_unknown = key == name_key{};
             this->version = this->is_version_unknown ? std::nullopt : std::optional(key);
             if (this->version)
@@ -209,7 +209,7 @@
         this->scope->step = "prefill";
         std::string kv_source = std::exchange(this->unused_kv_source, "");
         if (!kv_source.empty() && this->version &&
-            !(this->prefiller.kv_server()->version_key() == *this->version))
+            !(this->prefiller.kv_server()->version_key == *this->version))
         {
             this->release_kv_cache(std::exchange(kv_source, ""));
         }
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -249,9 +249,9 @@
         {
             const bool is_of_version =
                 this->version
-                    ? server.version_key() == *this->version
+                    ? server.version_key == *this->version
                     : !needs_spare ||
-                          this->engines->spare_versions.contains(server.version_key());
+                          this->engines->spare_versions.contains(server.version_key);
             return is_of_version && server.id != excluded &&
                    this->state->health.allowed(server.id, now) &&
                    this->state->limit_wait(server.id, now) <= duration::zero() &&
@@ -262,11 +262,14 @@
 
 bool place_finder::has_server_of_version() const
 {
+    if (!this->version)
+    {
+        return true;
+    }
     const auto servers = this->engines->placement.decode_servers();
-    return !this->version ||
-           std::any_of(servers.begin(), servers.end(),
+    return std::any_of(servers.begin(), servers.end(),
                        [this](const auto& server)
-                       { return server->version_key() == *this->version; });
+                       { return server->version_key == *this->version; });
 }
 
 /// Returns the memory for the prompt and the first events, in tokens. No more is
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -60,7 +60,7 @@
         [this, now, &tried, version](const backend_server& candidate)
         {
             const std::string& id = candidate.id;
-            return (!version || candidate.version_key() == *version) &&
+            return (!version || candidate.version_key == *version) &&
                    std::find(tried.begin(), tried.end(), id) == tried.end() &&
                    this->state->health.allowed(id, now) &&
                    this->state->limit_wait(id, now) <= duration::zero() &&
