A timer that was disarmed does nothing, also if it had expired

Cause: a timer that has expired when it is disarmed has its handler queued already. The wait for input of a silent stream ends each 100 ms by a timer that cancels the socket's wait; if the event comes in the same moment, the queued handler cancels the next read instead, which counts as a broken connection. Class: an action outlives the state that it was for. Ruled out: the stand-in (it writes the event then) and a second replacement (no place was looked for).

Change: a timer's handler knows whether it is still the armed one.

After it: 48 runs of the two tests of silent streams in 24 processes, six at a time, path_test (30), mixed_version_test (8) and the unit tests pass.

--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -2,6 +2,8 @@
 /// signal to wait for.
 #pragma once
 
+#include <cstdint>
+#include <memory>
 #include <span>
 #include <vector>
 
@@ -171,20 +173,28 @@
     {
         this->timer.expires_after(
             std::chrono::duration_cast<std::chrono::steady_clock::duration>(delay));
+        const std::uint64_t armed = ++*this->generation;
         this->timer.async_wait(
-            [action = std::move(action)](const io_error& fault)
+            [action = std::move(action), current = this->generation,
+             armed](const io_error& fault)
             {
-                if (!fault)
+                if (!fault && *current == armed)
                 {
                     action();
                 }
             });
     }
 
-    void disarm() { this->timer.cancel(); }
+    void disarm()
+    {
+        // A timer that has expired already can't be cancelled: its handler is queued.
+        ++*this->generation;
+        this->timer.cancel();
+    }
 
   private:
     loop_timer timer;
+    std::shared_ptr<std::uint64_t> generation = std::make_shared<std::uint64_t>(0);
 };
 
 } // namespace agateseam
