Decode cold times, regions and the settings for evacuations

Cause: the platform's listings, replies and configuration name how long servers stay cold, which rate they bear and where requests may run; nothing read it. Nothing acts on them yet.

--- a/include/agateseam/backend_directory.hpp
+++ b/include/agateseam/backend_directory.hpp
@@ -38,6 +38,8 @@
     std::uint64_t born_ms = 0; ///< Start time in Unix milliseconds; 0 when unknown.
     std::string version;       ///< Of its software; empty when unknown.
     name_key version_key;      ///< Of the service and the version; empty when unknown.
+    /// How long the server stayed cold when it announced this; zero when not cold.
+    std::chrono::milliseconds cold_remaining{0};
 };
 
 /// The servers that may be given work, by service; immutable.
--- a/include/agateseam/routing_table.hpp
+++ b/include/agateseam/routing_table.hpp
@@ -48,6 +48,7 @@
     std::uint32_t max_attempts = 1; ///< Backend servers that may execute one request.
     std::uint32_t priority = 0;     ///< 0 is the most urgent.
     std::vector<weighted_service> weighted_services;
+    std::vector<std::string> allowed_regions; ///< Empty: requests may run anywhere.
 
     /// \brief Tells whether a request that may have been executed can be sent again.
     [[nodiscard]] bool repeatable() const noexcept
@@ -69,6 +70,8 @@
     bool counts_tokens = true; ///< If false, each request counts as one.
     double default_tokens = 1; ///< Counted for a request that declares no tokens.
     std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
+    /// Where its requests may run; empty: anywhere. Binds beside the route's regions.
+    std::vector<std::string> allowed_regions;
 };
 
 /// \brief Properties of the inference engines of a service of model servers.
@@ -91,6 +94,10 @@
 {
     std::string name;
     std::uint32_t max_connections = 0; ///< Per server, from all callers; 0: unknown.
+    /// How long a server is cold after it starts; zero: servers are never cold.
+    std::chrono::milliseconds cold_start{0};
+    /// Requests a second that a cold server bears from all entries; 0: no bound.
+    double cold_per_second = 0;
     std::optional<engine_properties> engine; ///< Only of model servers.
 };
 
--- a/src/gateway/backend_dialect.hpp
+++ b/src/gateway/backend_dialect.hpp
@@ -69,6 +69,8 @@
     bool leaving = false;   ///< The server says that it shuts down.
     /// The requests a second that the server takes from all entries together.
     std::optional<double> limit_per_second;
+    /// How much longer the server is cold; no value when it says nothing valid of it.
+    std::optional<std::chrono::milliseconds> cold_remaining;
     std::optional<std::chrono::milliseconds> retry_after; ///< At most `max_retry_after`.
     std::string invalid_retry_after; ///< As sent; empty unless it isn't a time span.
 };
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -45,6 +45,20 @@
     }
 }
 
+void read_regions(const nlohmann::json& source, gateway_settings& settings,
+                  document_errors& errors)
+{
+    if (!source.is_object())
+    {
+        return;
+    }
+    section_reader section(source, "/regions", errors);
+    for (const auto& [domain, region] : source.items())
+    {
+        settings.regions[domain] = section.text(domain);
+    }
+}
+
 void read_fleet(const nlohmann::json& source, fleet_ledger_options& options,
                 document_errors& errors)
 {
@@ -100,6 +114,10 @@
             bytes_per_mb);
         settings.log =
             parse_log_level(section.one_of("log", {"debug", "info", "warning"}, "info"));
+        settings.evacuation_time =
+            milliseconds(section.integer("evacuation_ms", 0, max_duration_ms, 0));
+        settings.pace_servers = section.boolean("pace_servers", false);
+        read_regions(section.object("regions", false), settings, errors);
         read_fleet(section.object("fleet", false), settings.ledger, errors);
     }
     if (!errors.empty())
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -3,6 +3,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +32,12 @@
     /// Time between writes of usage to the store. Each write costs a call, and a killed
     /// process loses what it counted since the last one.
     std::chrono::milliseconds usage_flush{60'000};
+    /// Time in which an evacuation of a failure domain must be in force here; zero: the
+    /// deployment has no evacuations, and they are not followed.
+    std::chrono::milliseconds evacuation_time{0};
+    /// Whether servers that have started or recovered get requests at a limited pace.
+    bool pace_servers = false;
+    std::map<std::string, std::string, std::less<>> regions; ///< By failure domain.
     std::size_t memory_bytes = std::size_t{256} << 20; ///< Of the VM, for the process.
     log_level log = log_level::info;
 
--- a/tests/unit/platform_documents_test.cpp
+++ b/tests/unit/platform_documents_test.cpp
@@ -87,6 +87,52 @@
     CHECK(decode_server("i-1", draining)->leaving);
 }
 
+TEST_CASE("what a configuration says of cold servers and regions is decoded")
+{
+    json document = configuration_document();
+    document["services"][0]["cold_start_s"] = 2.5;
+    document["services"][0]["cold_per_s"] = 32.0;
+    document["services"][1]["cold_start_s"] = -1;
+    document["services"][1]["cold_per_s"] = "32";
+    document["routes"][0]["allowed_regions"] = {"khomas", 7};
+    document["tenants"][0]["allowed_regions"] = "khomas";
+    const auto decoded = decode_configuration(document);
+    REQUIRE(decoded);
+    const routing_table& table = **decoded;
+    CHECK(table.service("s1")->cold_start.count() == 2'500);
+    CHECK(table.service("s1")->cold_per_second == 32);
+    CHECK(table.service("s2")->cold_start.count() == 0);
+    CHECK(table.service("s2")->cold_per_second == 0);
+    CHECK(table.route_for("a.example", "/x/1")->allowed_regions ==
+          std::vector<std::string>{"khomas"});
+    CHECK(table.workspace_for_key("k1")->allowed_regions ==
+          std::vector<std::string>{"khomas"});
+}
+
+TEST_CASE("an invalid time that a server stays cold counts as none")
+{
+    json document = server_document();
+    CHECK(decode_server("i-1", document)->cold_remaining.count() == 0);
+    document["cold_remaining_ms"] = 2'900.5;
+    CHECK(decode_server("i-1", document)->cold_remaining.count() == 2'900);
+    for (const char* invalid_value : {"-1", "\"3000\"", "[3000]", "true", "1e300"})
+    {
+        document["cold_remaining_ms"] = json::parse(invalid_value);
+        const auto server = decode_server("i-1", document);
+        REQUIRE_MESSAGE(server, invalid_value);
+        CHECK_MESSAGE(server->cold_remaining.count() == 0, invalid_value);
+    }
+    const auto dialect = make_platform_dialect();
+    message_head head;
+    head.fields = {{"Agateseam-Cold-Remaining", "2900"}};
+    CHECK(dialect->read_reply(head).cold_remaining == std::chrono::milliseconds(2'900));
+    for (const char* invalid_value : {"", "-1", "2.5", "soon", "99999999999"})
+    {
+        head.fields[0].value = invalid_value;
+        CHECK_MESSAGE(!dialect->read_reply(head).cold_remaining, invalid_value);
+    }
+}
+
 TEST_CASE("a request's fields are read, and reserved header fields aren't forwarded")
 {
     const auto dialect = make_platform_dialect();
@@ -198,10 +244,21 @@
     const auto settings = gateway_settings::parse(valid_settings);
     REQUIRE(settings);
     CHECK(settings->ledger.allowance_reserve_tokens == 110'000);
+    CHECK(settings->evacuation_time.count() == 0);
+    CHECK(!settings->pace_servers);
+    const auto more = gateway_settings::parse(
+        valid_settings.substr(0, valid_settings.size() - 1) +
+        R"(,"evacuation_ms":5000,"pace_servers":true,"regions":{"a":"r","b":"r"}})");
+    REQUIRE(more);
+    CHECK(more->evacuation_time.count() == 5'000);
+    CHECK(more->pace_servers);
+    CHECK(more->regions.at("b") == "r");
     const auto invalid_settings = gateway_settings::parse(
-        R"({"vm":"v","callers":"nowhere","odd":1,"fleet":{"repeat_ratio":7}})");
+        R"({"vm":"v","callers":"nowhere","odd":1,"fleet":{"repeat_ratio":7},
+        "evacuation_ms":-5,"regions":{"a":3}})");
     REQUIRE(!invalid_settings);
-    for (const char* json_pointer : {"/callers", "/odd", "/fleet/repeat_ratio", "/store"})
+    for (const char* json_pointer : {"/callers", "/odd", "/fleet/repeat_ratio", "/store",
+                                     "/evacuation_ms", "/regions/a"})
     {
         CHECK(invalid_settings.error().description.find(json_pointer) !=
               std::string::npos);
