Entries follow evacuations of failure domains

Change: with evacuation_ms above 0, a third feed follows the kind, from the store or a relay, and digests carry what is known (format 7; no byte more without evacuations). Servers of evacuated domains are not published and accept no work, releases or reports; an entry publishes no servers before it knows the evacuations.

No process-level test run for this commit.

--- a/include/agateseam/entry_digest.hpp
+++ b/include/agateseam/entry_digest.hpp
@@ -6,6 +6,7 @@
 
 #include <agateseam/clock.hpp>
 #include <agateseam/engine_placement.hpp>
+#include <agateseam/evacuations.hpp>
 #include <agateseam/keyed_map.hpp>
 #include <agateseam/part_quarantine.hpp>
 #include <agateseam/waiting_queue.hpp>
@@ -58,7 +59,8 @@
     keyed_map<decode_claim> claims;               ///< By server id.
     keyed_map<std::int64_t> orphan_tokens;        ///< By server id.
     keyed_map<server_limit_report> server_limits; ///< By server id.
-    quarantine_digest quarantine; ///< Whatever the entry knows, from any entry.
+    quarantine_digest quarantine;   ///< Whatever the entry knows, from any entry.
+    evacuation_reports evacuations; ///< The same; empty where they aren't followed.
 };
 
 /// \brief Reduces an entry's digests to what the others don't know yet.
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -15,7 +15,7 @@
 
 /// A digest is one array: the entry's name, then integers in a fixed order, where each
 /// list begins with its length.
-constexpr std::int64_t format_version = 6;
+constexpr std::int64_t format_version = 7;
 /// Amounts are sent as whole thousandths, which are shorter than floating point numbers.
 /// Requests earn hundredths of a repeat, so this is precise enough.
 constexpr double amount_scale = 1'000;
@@ -123,6 +123,27 @@
     }
 }
 
+/// Appends nothing without reports, as in deployments without evacuations.
+void append_evacuations(json& items, const evacuation_reports& reports)
+{
+    if (reports.empty())
+    {
+        return;
+    }
+    const store_position listed = reports.listed.value_or(store_position{});
+    items.push_back(reports.listed ? 1 : 0);
+    items.push_back(listed.era);
+    items.push_back(listed.revision);
+    items.push_back(reports.domains.size());
+    for (const auto& [domain, report] : reports.domains)
+    {
+        items.push_back(to_integer(domain.hash()));
+        items.push_back(report.evacuated ? 1 : 0);
+        items.push_back(report.position.era);
+        items.push_back(report.position.revision);
+    }
+}
+
 /// Receives the parser's events and collects the name and the integers, without a
 /// document tree: an entry reads some hundred digests a second.
 class item_collector final : public json::json_sax_t
@@ -197,6 +218,9 @@
         return length;
     }
 
+    /// Tells whether all integers were read.
+    [[nodiscard]] bool at_end() const { return this->position >= this->integers->size(); }
+
     /// Tells whether all integers were read, and none beyond them.
     [[nodiscard]] bool valid() const
     {
@@ -305,6 +329,26 @@
     return quarantine;
 }
 
+evacuation_reports read_evacuations(integer_reader& reader)
+{
+    evacuation_reports reports;
+    if (reader.at_end())
+    {
+        return reports;
+    }
+    const bool has_list = reader.next() != 0;
+    const store_position listed{reader.next_unsigned(), reader.next_unsigned()};
+    reports.listed = has_list ? std::optional(listed) : std::nullopt;
+    const std::size_t length = reader.next_length(4);
+    for (std::size_t index = 0; index < length; ++index)
+    {
+        evacuation_report& report = reports.domains[reader.next_key()];
+        report.evacuated = reader.next() != 0;
+        report.position = {reader.next_unsigned(), reader.next_unsigned()};
+    }
+    return reports;
+}
+
 } // namespace
 
 std::string encode_digest(const entry_digest& digest)
@@ -326,6 +370,7 @@
     }
     append_server_limits(items, digest.server_limits);
     append_quarantine(items, digest.quarantine);
+    append_evacuations(items, digest.evacuations);
     std::string bytes;
     json::to_msgpack(items, nlohmann::detail::output_adapter<char, std::string>(bytes));
     return bytes;
@@ -366,6 +411,7 @@
     digest.orphan_tokens = read_orphans(reader);
     digest.server_limits = read_server_limits(reader);
     digest.quarantine = read_quarantine(reader);
+    digest.evacuations = read_evacuations(reader);
     if (!reader.valid() || scope < 0 || scope > static_cast<int>(digest_scope::delta))
     {
         return fail(error_code::invalid, "read digest", digest.entry,
--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -29,7 +29,8 @@
 
 bool takes_only_requests(const entry_state& state, const backend_server& server)
 {
-    return state.health.rest_left(server.id, boot_now()) > duration::zero() ||
+    return state.is_evacuated(server) ||
+           state.health.rest_left(server.id, boot_now()) > duration::zero() ||
            state.is_limited(server.id);
 }
 
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -1,12 +1,14 @@
 #include <gateway/entry_service.hpp>
 
 #include <csignal>
+#include <utility>
 
 #include <boost/asio/signal_set.hpp>
 
 #include <gateway/digest_codec.hpp>
 #include <gateway/engine_calls.hpp>
 #include <gateway/entry_handlers.hpp>
+#include <gateway/evacuation_changes.hpp>
 #include <gateway/memory_report_poller.hpp>
 #include <gateway/origin_exchange.hpp>
 #include <gateway/quarantine_keeper.hpp>
@@ -135,8 +137,13 @@
         {
             this->state.versions.interrupt(boot_now());
         }
-        this->state.servers_known = true;
+        const bool is_first_list = !std::exchange(this->state.servers_known, true);
         this->state.publish_servers();
+        if (is_first_list)
+        {
+            log_unknown_evacuations(this->state,
+                                    this->state.evacuated_domains.evacuated());
+        }
     }
 
     void on_server_changed(backend_server server) override
@@ -164,6 +171,24 @@
         this->state.publish_servers();
     }
 
+    void on_evacuations(const std::vector<std::string>& domains, store_position position,
+                        std::string_view source) override
+    {
+        evacuations& known = this->state.evacuated_domains;
+        const bool was_known = known.is_known();
+        apply_evacuation_changes(
+            this->state, known.replace(domains, position, boot_now()), was_known, source);
+    }
+
+    void on_evacuation_changed(std::string_view domain, bool evacuated,
+                               store_position position, std::string_view source) override
+    {
+        evacuations& known = this->state.evacuated_domains;
+        apply_evacuation_changes(this->state,
+                                 known.record(domain, evacuated, position, boot_now()),
+                                 known.is_known(), source);
+    }
+
     void on_entries(std::vector<registered_entry> entries) override
     {
         this->peers->set_entries(entries);
@@ -405,6 +430,9 @@
             {
                 this->state.publish_servers();
             }
+            apply_evacuation_changes(this->state,
+                                     this->state.evacuated_domains.expire(boot_now()),
+                                     true, "store restored");
         }
     }
 
--- a/src/gateway/entry_state.cpp
+++ b/src/gateway/entry_state.cpp
@@ -44,10 +44,21 @@
 
 bool entry_state::accepts_work(const backend_server& server) const
 {
-    return !this->directory.said_leaving(server) &&
+    return !this->directory.said_leaving(server) && !this->is_evacuated(server) &&
            this->health.rest_left(server.id, boot_now()) <= duration::zero();
 }
 
+bool entry_state::is_evacuated(const backend_server& server) const
+{
+    return this->follows_evacuations() &&
+           this->evacuated_domains.contains(server.failure_domain);
+}
+
+std::string_view entry_state::refusal_reason(const backend_server& server) const
+{
+    return this->is_evacuated(server) ? "failure domain evacuated" : "accepts no work";
+}
+
 duration entry_state::limit_wait(const std::string& id, time_point now)
 {
     return this->is_limited(id)
@@ -97,28 +108,47 @@
     return shortest;
 }
 
+std::shared_ptr<const backends_by_service>
+entry_state::without_evacuated(std::shared_ptr<const backends_by_service> listed) const
+{
+    if (!this->follows_evacuations() || this->evacuated_domains.evacuated().empty())
+    {
+        return listed;
+    }
+    auto remaining = std::make_shared<backends_by_service>(*listed);
+    for (auto& [service, servers] : *remaining)
+    {
+        std::erase_if(servers,
+                      [this](const auto& server) { return this->is_evacuated(*server); });
+    }
+    return remaining;
+}
+
 void entry_state::publish_servers()
 {
-    if (!this->servers_known)
+    if (!this->servers_known ||
+        (this->follows_evacuations() && !this->evacuated_domains.is_known()))
     {
         return;
     }
-    this->backends = this->directory.usable();
-    for (const auto& [service, servers] : *this->backends)
+    const auto listed = this->directory.usable();
+    this->backends = this->without_evacuated(listed);
+    for (const auto& [service, servers] : *listed)
     {
         for (const auto& server : servers)
         {
             this->health.set_incarnation(server->id, server->born_ms);
         }
     }
-    for (const auto& [service, servers] : *this->backends)
+    // A stream may have begun at a server that has been evacuated since.
+    for (const auto& [service, servers] : *listed)
     {
-        std::set<name_key> listed;
+        std::set<name_key> listed_versions;
         for (const auto& server : servers)
         {
-            listed.insert(server->version_key);
+            listed_versions.insert(server->version_key);
         }
-        this->versions.set_listed(service, std::move(listed), boot_now());
+        this->versions.set_listed(service, std::move(listed_versions), boot_now());
     }
     if (!this->routing)
     {
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -16,6 +16,7 @@
 
 #include <agateseam/backend_directory.hpp>
 #include <agateseam/engine_placement.hpp>
+#include <agateseam/evacuations.hpp>
 #include <agateseam/fleet_ledger.hpp>
 #include <agateseam/model_latency_estimator.hpp>
 #include <agateseam/part_quarantine.hpp>
@@ -73,9 +74,21 @@
     server(const std::string& service, const std::string& id) const;
 
     /// \brief Tells whether a server may be sent new work now: it hasn't said that it
-    /// leaves, and doesn't rest.
+    /// leaves, doesn't rest and isn't evacuated.
     [[nodiscard]] bool accepts_work(const backend_server& server) const;
 
+    /// \brief Tells whether evacuations of failure domains are followed here.
+    [[nodiscard]] bool follows_evacuations() const noexcept
+    {
+        return this->settings.evacuation_time > std::chrono::milliseconds(0);
+    }
+
+    /// \brief Tells whether a server is in an evacuated failure domain.
+    [[nodiscard]] bool is_evacuated(const backend_server& server) const;
+
+    /// \brief Returns why a server that accepts no work doesn't, for logs.
+    [[nodiscard]] std::string_view refusal_reason(const backend_server& server) const;
+
     /// \brief Returns how long until a server's limit admits a request of this entry;
     /// zero without a limit.
     [[nodiscard]] duration limit_wait(const std::string& id, time_point now);
@@ -95,8 +108,9 @@
     [[nodiscard]] std::optional<duration> time_all_busy(const std::string& service,
                                                         time_point now);
 
-    /// \brief Publishes the directory's usable servers to requests and placement. Does
-    /// nothing before the first list.
+    /// \brief Publishes the directory's usable servers to requests and placement, but
+    /// those of evacuated failure domains. Does nothing before the first list, and before
+    /// the evacuations are known where they are followed.
     void publish_servers();
 
     event_loop* loop;
@@ -111,6 +125,7 @@
     backend_directory directory;
     bool servers_known = false;                          ///< Whether a list has come.
     std::shared_ptr<const backends_by_service> backends; ///< Null before the first list.
+    evacuations evacuated_domains;
 
     fleet_ledger ledger;
     server_health_tracker health;
@@ -134,6 +149,9 @@
     std::optional<stop_schedule> stop; ///< Set by SIGTERM or SIGINT.
 
   private:
+    [[nodiscard]] std::shared_ptr<const backends_by_service>
+    without_evacuated(std::shared_ptr<const backends_by_service> listed) const;
+
     std::map<std::string, std::unique_ptr<engine_service>> engine_services;
 };
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <gateway/digest_codec.hpp>
+#include <gateway/evacuation_changes.hpp>
 
 namespace agateseam
 {
@@ -165,6 +166,7 @@
                 : std::optional(now - interval * digest_reducer::resent_digests);
         digest.quarantine = this->state->quarantine.make_digest(changed_since, now);
         digest.server_limits = this->state->limiter.make_reports(changed_since, now);
+        digest.evacuations = this->make_evacuation_reports(digest.scope, now - interval);
         const bool is_delta = digest.scope == digest_scope::delta;
         this->send_datagram(encode_digest(digest),
                             is_delta ? delta_fanout : this->peers.size());
@@ -204,6 +206,22 @@
     return digest;
 }
 
+/// Returns the evacuations that a digest carries. Whole digests have all of them, since
+/// they are few; the position alone, which only new entries need, is in complete ones.
+evacuation_reports peer_exchange::make_evacuation_reports(digest_scope scope,
+                                                          time_point recent) const
+{
+    if (!this->state->follows_evacuations())
+    {
+        return {};
+    }
+    evacuation_reports reports = this->state->evacuated_domains.make_reports();
+    const bool is_due = scope == digest_scope::complete ||
+                        (scope == digest_scope::recent && !reports.domains.empty()) ||
+                        this->state->evacuated_domains.last_change() >= recent;
+    return is_due ? std::move(reports) : evacuation_reports{};
+}
+
 /// Sends to at most `max_peers` entries in the order of their names, from a random one
 /// on.
 void peer_exchange::send_datagram(const std::string& datagram, std::size_t max_peers)
@@ -321,6 +339,13 @@
     {
         this->state->digest_due.notify();
     }
+    if (this->state->follows_evacuations() && !digest->evacuations.empty())
+    {
+        const bool was_known = this->state->evacuated_domains.is_known();
+        apply_evacuation_changes(
+            *this->state, this->state->evacuated_domains.apply(digest->evacuations, now),
+            was_known, digest->entry);
+    }
     this->digest_received.notify();
     const std::uint64_t own_version =
         this->state->routing ? this->state->routing->version() : 0;
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -60,6 +60,8 @@
     bool receive_one();
     void handle_datagram(std::string_view datagram, const asio::ip::udp::endpoint& from);
     [[nodiscard]] entry_digest make_digest(time_point now);
+    [[nodiscard]] evacuation_reports make_evacuation_reports(digest_scope scope,
+                                                             time_point recent) const;
     void send_datagram(const std::string& datagram, std::size_t max_peers);
     task<void> update_claims_periodically();
     template <typename Action>
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -138,7 +138,8 @@
         }
         if (has_place)
         {
-            log_failure(*this->scope, "place withheld", server->id, "accepts no work");
+            log_failure(*this->scope, "place withheld", server->id,
+                        this->state->refusal_reason(*server));
             this->release(*place);
         }
         place.reset();
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -263,7 +263,7 @@
             log_failure(*this->scope, "attempt withheld", server.id,
                         this->scope->part_block_in_force() != nullptr
                             ? "blocked"
-                            : "accepts no work");
+                            : this->state->refusal_reason(server));
             co_return outcome;
         }
         const time_point now = boot_now();
--- a/src/gateway/platform_link.hpp
+++ b/src/gateway/platform_link.hpp
@@ -12,6 +12,7 @@
 #include <agateseam/backend_directory.hpp>
 #include <agateseam/part_quarantine.hpp>
 #include <agateseam/routing_table.hpp>
+#include <agateseam/store_position.hpp>
 #include <agateseam/store_watch_plan.hpp>
 #include <agateseam/usage.hpp>
 #include <transport/event_loop.hpp>
@@ -40,6 +41,15 @@
     virtual void on_servers(std::vector<backend_server> servers, bool after_outage) = 0;
     virtual void on_server_changed(backend_server server) = 0;
     virtual void on_server_removed(std::string_view id, bool after_outage) = 0;
+
+    /// \brief Called with all failure domains that are evacuated as of a position.
+    /// \param source "store" or the address of the entry that relayed it.
+    virtual void on_evacuations(const std::vector<std::string>& domains,
+                                store_position position, std::string_view source) = 0;
+    virtual void on_evacuation_changed(std::string_view domain, bool evacuated,
+                                       store_position position,
+                                       std::string_view source) = 0;
+
     virtual void on_entries(std::vector<registered_entry> entries) = 0;
     virtual void on_store_reachability_changed(bool reached, std::string_view reason) = 0;
 
