A request that loses its place to an evacuation may wait anew

Cause: a request's wait is bounded from its arrival. One that had waited for nearly all of it, got a place and lost it to an evacuation would have been refused although servers elsewhere had room. Change: its bound counts from the loss; its rank in the queue stays.

--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -257,6 +257,7 @@
     {
         log_failure(*this->scope, "decode withheld", place.chosen_server().id,
                     this->state->refusal_reason(place.chosen_server()));
+        this->place_search.record_lost_place(place.chosen_server());
         this->place_search.release(place);
         this->unused_kv_source = kv_source;
         this->is_withheld = true;
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -65,10 +65,19 @@
         // Its caller has a part of the answer and can't begin anew elsewhere.
         return this->scope->deadline;
     }
-    const time_point arrived = this->scope->exchange->request().arrived;
-    return arrived + std::min<duration>(
-                         (this->scope->deadline - arrived) / max_wait_divisor,
-                         this->scope->route->target_latency * max_wait_target_factor);
+    const time_point begin =
+        std::max(this->scope->exchange->request().arrived, this->place_lost_at);
+    return begin + std::min<duration>((this->scope->deadline - begin) / max_wait_divisor,
+                                      this->scope->route->target_latency *
+                                          max_wait_target_factor);
+}
+
+void place_finder::record_lost_place(const backend_server& server)
+{
+    if (this->state->is_evacuated(server))
+    {
+        this->place_lost_at = boot_now();
+    }
 }
 
 /// Waits in the queue until a decode server has capacity and reserves memory there.
@@ -76,7 +85,7 @@
 {
     const time_point arrived = this->scope->exchange->request().arrived;
     const duration target_latency = this->scope->route->target_latency;
-    const time_point wait_until = this->max_wait_end();
+    time_point wait_until = this->max_wait_end();
     const waiting_request waiting{this->scope->priority(), arrived,
                                   arrived + target_latency -
                                       this->engines->latency.expected_first_event_time()};
@@ -143,6 +152,8 @@
             this->release(*place);
         }
         place.reset();
+        this->record_lost_place(*server);
+        wait_until = this->max_wait_end();
         ++this->reservations_refused;
         this->engines->placement.record_refusal(server->id, boot_now());
         if (!is_bound)
--- a/src/gateway/place_finder.hpp
+++ b/src/gateway/place_finder.hpp
@@ -43,6 +43,10 @@
     /// \returns false if the server accepts no work now.
     [[nodiscard]] bool begin_send(decode_place& place);
 
+    /// \brief Gives a request that lost its place to an evacuation the waiting time of a
+    /// new one: what it has waited before brought it that place. It keeps its rank.
+    void record_lost_place(const backend_server& server);
+
     /// \brief Releases an unused reservation at its server.
     void release(decode_place& place);
 
@@ -76,6 +80,7 @@
     stream_memory expected_memory;
     std::optional<name_key> version; ///< The only one that may be used.
     time_point reserved_at{};
+    time_point place_lost_at{}; ///< When the latest place was lost to an evacuation.
     bool is_queued = false;
     std::uint32_t reservations_refused = 0;
 };
