explain names the attempts that an evacuation withheld

Cause: a request that chose again because of an evacuation looked as if its entry had been slow. Change: the cause ends with the number of withheld attempts and their servers; evacuations and their ends are context lines.

--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -20,12 +20,14 @@
 
 /// Events without a request's id that change the state on which a process bases its
 /// decisions.
-constexpr std::array<std::string_view, 14> context_events{
+constexpr std::array<std::string_view, 16> context_events{
     "prompt parts blocked",
     "prompt parts released",
     "platform store out of reach",
     "platform store reached again",
     "store era changed",
+    "failure domain evacuated",
+    "failure domain taken back",
     "configuration in force",
     "configuration behind in store",
     "configuration caught up in store",
@@ -144,6 +146,26 @@
     return "";
 }
 
+/// Describes the request's attempts that were not sent because of an evacuation.
+std::string evacuation_note(const request_explanation& explanation)
+{
+    int withheld = 0;
+    std::string servers;
+    for (const request_log_line& line : explanation.lines)
+    {
+        if (line.names_request &&
+            string_field(line.fields, "reason") == "failure domain evacuated")
+        {
+            servers +=
+                (withheld++ == 0 ? "" : ", ") + string_field(line.fields, "server");
+        }
+    }
+    return withheld == 0
+               ? ""
+               : "; withheld because of an evacuation: " + std::to_string(withheld) +
+                     " (" + servers + ")";
+}
+
 std::string cause_of(const request_explanation& explanation, const json* end)
 {
     if (const json* cut = last_request_event(explanation, "request cut by the stop");
@@ -323,7 +345,7 @@
     }
     const json* end = last_request_event(explanation, "request");
     explanation.outcome = end == nullptr ? "" : string_field(*end, "outcome");
-    explanation.cause = cause_of(explanation, end);
+    explanation.cause = cause_of(explanation, end) + evacuation_note(explanation);
     return explanation;
 }
 
--- a/tests/unit/request_explanation_test.cpp
+++ b/tests/unit/request_explanation_test.cpp
@@ -57,6 +57,33 @@
     CHECK(explanation->cause.find("backend server gone") != std::string::npos);
 }
 
+TEST_CASE("an explanation names the attempts that an evacuation withheld")
+{
+    // Without them, a request that waited twice looks as if its entry had been slow.
+    request_explainer explainer("q1");
+    explainer.add_line(log_line_text(9'000'000, "e1", "failure domain evacuated",
+                                     R"(,"domain":"zone-b","source":"store")"));
+    explainer.add_line(log_line_text(
+        9'000'100, "e1", "place withheld",
+        R"(,"request":"q1","server":"i-1","reason":"failure domain evacuated")"));
+    explainer.add_line(log_line_text(
+        9'000'200, "e1", "decode withheld",
+        R"(,"request":"q1","server":"i-2","reason":"failure domain evacuated")"));
+    explainer.add_line(
+        log_line_text(9'000'300, "e1", "decode withheld",
+                      R"(,"request":"q1","server":"i-3","reason":"accepts no work")"));
+    explainer.add_line(log_line_text(
+        9'101'000, "e1", "request",
+        R"(,"request":"q1","outcome":"answered","server":"i-4","took_ms":40)"));
+    const auto explanation = explainer.explain();
+    REQUIRE(explanation);
+    CHECK(events_of(*explanation).front() == "failure domain evacuated");
+    CHECK(
+        explanation->cause ==
+        "answered by server i-4 in 40 ms, after 0 ms of waiting; withheld because of an "
+        "evacuation: 2 (i-1, i-2)");
+}
+
 TEST_CASE("lines of a process keep their order when its wall clock steps back")
 {
     request_explainer explainer("q1");
