--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -76,6 +76,9 @@
 /// \brief The command that explains a request's outcome from the entries' logs.
 [[nodiscard]] std::span<const command> explain_commands() noexcept;
 
+/// \brief The command that lists the evacuated failure domains.
+[[nodiscard]] std::span<const command> evacuation_commands() noexcept;
+
 /// \brief Commands that list, show and change sections of the configuration, show its
 /// history, and preview what a patch would change.
 [[nodiscard]] std::span<const command> section_commands() noexcept;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -48,7 +48,7 @@
     std::vector<command> commands;
     for (const std::span<const command> group :
          {config_commands(), section_commands(), usage_commands(), status_commands(),
-          timeline_commands(), explain_commands()})
+          timeline_commands(), explain_commands(), evacuation_commands()})
     {
         commands.insert(commands.end(), group.begin(), group.end());
     }
