Regions: requests run only where their route and workspace allow

Cause: routes and workspaces may name the regions in which their requests, with their KV caches, may run (docs/design/returning-servers.md). Change: region_filter holds the failure domains that a request may use, by the setting "regions". Every choice of a server asks it: plain calls, decode places (also resumptions, replacements and spares of a version), prefill servers, which are the KV sources, and trials of blocked parts. A request without a listed server in its regions gets 503 no_server_in_region at once, before its allowance is charged, or later if the last one is removed while it waits. Servers elsewhere don't count for "all servers rest". Without allowed_regions a choice tests one flag. No process-level test of regions yet: the stand-in's sites have none.

--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -182,6 +182,11 @@
                                    : "; the first one ended " +
                                          integer_text(*refusal, "rest_ms") + " ms later");
     }
+    if (outcome == "no_server_in_region")
+    {
+        return "no server of its service is listed in a region where its route and "
+               "workspace let it run";
+    }
     if (outcome == "prompt_part_blocked")
     {
         return "its prompt has parts that crashed servers, by the entries' joint "
--- a/src/gateway/entry_state.cpp
+++ b/src/gateway/entry_state.cpp
@@ -77,12 +77,13 @@
 }
 
 std::optional<duration> entry_state::time_all_busy(const std::string& service,
+                                                   const region_filter& region,
                                                    time_point now)
 {
     std::optional<duration> shortest;
     for (const auto& server : this->servers_of(service))
     {
-        if (server->stage == engine_stage::prefill)
+        if (server->stage == engine_stage::prefill || !region.allows(*server))
         {
             continue;
         }
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -29,6 +29,7 @@
 #include <gateway/backend_dialect.hpp>
 #include <gateway/entry_counters.hpp>
 #include <gateway/gateway_settings.hpp>
+#include <gateway/region_filter.hpp>
 #include <transport/upstream_connection.hpp>
 
 namespace agateseam
@@ -92,7 +93,9 @@
 
     /// \brief Returns how long the servers of a service that run whole requests or decode
     /// all rest, or are at their limits; nothing if one isn't or there is none.
+    /// \param region other servers don't count.
     [[nodiscard]] std::optional<duration> time_all_busy(const std::string& service,
+                                                        const region_filter& region,
                                                         time_point now);
 
     /// \brief Publishes the directory's usable servers to requests and placement. Does
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -685,7 +685,13 @@
                                        make_blocked_answer(*this->scope, *block));
             co_return;
         }
-        const auto rest = this->state->time_all_busy(this->scope->service, boot_now());
+        if (decision == retry_decision::report_not_run &&
+            !this->scope->has_server_in_region(true))
+        {
+            co_await send_local_answer(*this->scope, make_region_answer());
+            co_return;
+        }
+        const auto rest = this->scope->time_all_busy(boot_now());
         if (decision == retry_decision::report_not_run && rest)
         {
             co_await send_local_answer(*this->scope,
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -94,8 +94,8 @@
         if (now >= std::min(wait_until, this->scope->deadline) ||
             !this->scope->is_key_valid() ||
             this->scope->part_block_in_force() != nullptr ||
-            this->state->time_all_busy(this->scope->service, now) ||
-            !this->has_server_of_version() ||
+            this->scope->time_all_busy(now) || !this->has_server_of_version() ||
+            !this->scope->has_server_in_region(true) ||
             (!is_bound && now + this->expected_wait() > wait_until) ||
             this->scope->may_not_start(now + this->expected_wait()))
         {
@@ -153,14 +153,14 @@
     this->leave_queue(ticket);
     this->scope->queue_time = boot_now() - arrived;
     this->engines->capacity_changed.notify();
-    this->log_not_reserved(this->scope->exchange->disconnected()    ? "caller gone"
-                           : this->scope->may_not_start(boot_now()) ? "stopping"
-                           : this->scope->part_block_in_force() != nullptr
-                               ? "blocked parts"
-                           : this->state->time_all_busy(this->scope->service, boot_now())
-                               ? "all servers rest"
-                           : !this->has_server_of_version() ? "no server of its version"
-                                                            : "no memory in time");
+    this->log_not_reserved(
+        this->scope->exchange->disconnected()           ? "caller gone"
+        : this->scope->may_not_start(boot_now())        ? "stopping"
+        : this->scope->part_block_in_force() != nullptr ? "blocked parts"
+        : this->scope->time_all_busy(boot_now())        ? "all servers rest"
+        : !this->has_server_of_version()                ? "no server of its version"
+        : !this->scope->has_server_in_region(true)      ? "no server in its region"
+                                                        : "no memory in time");
     co_return nullptr;
 }
 
@@ -247,12 +247,11 @@
         this->state->random(),
         [this, now, excluded, needs_spare](const backend_server& server)
         {
-            const bool is_of_version =
-                this->version
-                    ? server.version_key == *this->version
-                    : !needs_spare ||
-                          this->engines->spare_versions.contains(server.version_key);
+            const bool is_of_version = this->version
+                                           ? server.version_key == *this->version
+                                           : !needs_spare || this->has_spare(server);
             return is_of_version && server.id != excluded &&
+                   this->scope->region.allows(server) &&
                    this->state->health.allowed(server.id, now) &&
                    this->state->limit_wait(server.id, now) <= duration::zero() &&
                    this->state->health.return_delay_left(server.id, now) <=
@@ -268,8 +267,31 @@
     }
     const auto servers = this->engines->placement.decode_servers();
     return std::any_of(servers.begin(), servers.end(),
-                       [this](const auto& server)
-                       { return server->version_key == *this->version; });
+                       [this](const auto& server) {
+                           return server->version_key == *this->version &&
+                                  this->scope->region.allows(*server);
+                       });
+}
+
+/// Tells whether a second server of a server's version could go on with the stream.
+bool place_finder::has_spare(const backend_server& server) const
+{
+    if (!this->engines->spare_versions.contains(server.version_key))
+    {
+        return false;
+    }
+    if (!this->scope->region.is_restricted())
+    {
+        return true;
+    }
+    const auto servers = this->engines->placement.decode_servers();
+    return std::any_of(servers.begin(), servers.end(),
+                       [this, &server](const auto& other)
+                       {
+                           return other->id != server.id &&
+                                  other->version_key == server.version_key &&
+                                  this->scope->region.allows(*other);
+                       });
 }
 
 /// Returns the memory for the prompt and the first events, in tokens. No more is
--- a/src/gateway/place_finder.hpp
+++ b/src/gateway/place_finder.hpp
@@ -62,6 +62,7 @@
     /// \param needs_spare whether another server must be able to go on with the stream.
     [[nodiscard]] std::shared_ptr<const backend_server>
     choose(time_point now, std::string_view excluded, bool needs_spare);
+    [[nodiscard]] bool has_spare(const backend_server& server) const;
     [[nodiscard]] time_point max_wait_end() const;
     [[nodiscard]] std::int64_t initial_tokens() const;
     task<bool> reserve(decode_place& place);
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -187,6 +187,7 @@
     {
         return std::find(this->tried.begin(), this->tried.end(), server.id) ==
                    this->tried.end() &&
+               this->scope->region.allows(server) &&
                this->state->health.allowed(server.id, now) &&
                this->state->limit_wait(server.id, now) <= duration::zero();
     }
@@ -456,8 +457,13 @@
         }
         local_answer answer{
             status_bad_gateway, "answer_lost", execution_state::unknown, {}};
-        const auto rest = this->state->time_all_busy(this->scope->service, boot_now());
-        if (next == retry_decision::report_not_run && rest)
+        const auto rest = this->scope->time_all_busy(boot_now());
+        if (next == retry_decision::report_not_run &&
+            !this->scope->has_server_in_region(false))
+        {
+            answer = make_region_answer();
+        }
+        else if (next == retry_decision::report_not_run && rest)
         {
             answer = make_resting_answer(*this->scope, *rest);
         }
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -61,6 +61,7 @@
         {
             const std::string& id = candidate.id;
             return (!version || candidate.version_key == *version) &&
+                   this->scope->region.allows(candidate) &&
                    std::find(tried.begin(), tried.end(), id) == tried.end() &&
                    this->state->health.allowed(id, now) &&
                    this->state->limit_wait(id, now) <= duration::zero() &&
--- a/src/gateway/request_pipeline.cpp
+++ b/src/gateway/request_pipeline.cpp
@@ -116,6 +116,15 @@
         co_await send_local_answer(scope, make_stopping_answer());
         co_return;
     }
+    scope.region =
+        region_filter(this->state->settings.regions, scope.route->allowed_regions,
+                      scope.workspace == nullptr ? std::vector<std::string>{}
+                                                 : scope.workspace->allowed_regions);
+    if (!scope.has_server_in_region(scope.is_model_request()))
+    {
+        co_await send_local_answer(scope, make_region_answer());
+        co_return;
+    }
     scope.parts = request_parts::create(request_key(scope), scope.metadata.shared_parts);
     const part_block* block = scope.part_block_in_force();
     if (block != nullptr && !this->may_claim_trial(scope, *block))
@@ -170,8 +179,10 @@
     const auto& servers = this->state->servers_of(scope.service);
     return this->state->quarantine.is_trial_due(block.key(), now) &&
            std::any_of(servers.begin(), servers.end(),
-                       [this, now](const auto& server)
-                       { return this->state->health.allowed(server->id, now); });
+                       [this, &scope, now](const auto& server) {
+                           return scope.region.allows(*server) &&
+                                  this->state->health.allowed(server->id, now);
+                       });
 }
 
 /// Makes a blocked request the trial of its block, if one is due.
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -33,6 +33,21 @@
            this->metadata.declares_tokens && this->route->rule == repeat_rule::stream;
 }
 
+bool request_scope::has_server_in_region(bool decodes) const
+{
+    if (!this->region.is_restricted())
+    {
+        return true;
+    }
+    const auto& servers = this->state->servers_of(this->service);
+    return std::any_of(servers.begin(), servers.end(),
+                       [this, decodes](const auto& candidate)
+                       {
+                           return this->region.allows(*candidate) &&
+                                  (!decodes || candidate->stage != engine_stage::prefill);
+                       });
+}
+
 duration request_scope::expected_duration() const
 {
     if (!this->is_model_request())
@@ -103,6 +118,11 @@
             duration(stopping_retry_after)};
 }
 
+local_answer make_region_answer() noexcept
+{
+    return {status_unavailable, "no_server_in_region", execution_state::not_run, {}};
+}
+
 local_answer make_resting_answer(request_scope& scope, duration rest_left)
 {
     const duration spread =
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include <gateway/entry_state.hpp>
+#include <gateway/region_filter.hpp>
 
 namespace agateseam
 {
@@ -19,6 +20,7 @@
     const service_route* route = nullptr;
     const workspace_limits* workspace = nullptr; ///< Null on open routes.
     std::string service;
+    region_filter region;            ///< Where it may run.
     double charged_tokens = 0;       ///< Taken from the allowance.
     time_point deadline{};           ///< The answer must be complete by then.
     request_parts parts;             ///< What may crash a server.
@@ -50,6 +52,17 @@
                    : this->route->priority;
     }
 
+    /// \brief Tells whether a usable server is in a region where the request may run.
+    /// \param decodes whether only servers that decode count.
+    [[nodiscard]] bool has_server_in_region(bool decodes) const;
+
+    /// \brief Returns how long the servers that may run the request all rest, or are at
+    /// their limits; nothing if one isn't or there is none.
+    [[nodiscard]] std::optional<duration> time_all_busy(time_point now) const
+    {
+        return this->state->time_all_busy(this->service, this->region, now);
+    }
+
     /// \brief Tells whether a model engine serves the request.
     [[nodiscard]] bool is_model_request() const;
 
@@ -95,6 +108,10 @@
 /// Its caller may go to another entry at once.
 [[nodiscard]] local_answer make_stopping_answer() noexcept;
 
+/// \brief Returns the answer to a request whose regions have no server for it. None may
+/// come for a long time, so it names no time to come back.
+[[nodiscard]] local_answer make_region_answer() noexcept;
+
 /// \brief Returns the answer to a request while all servers of its service rest, and logs
 /// it. Its caller is told to come back some time after the first rest ends, at random, so
 /// that not all callers come back at once.
