--- a/include/agateseam/entry_digest.hpp
+++ b/include/agateseam/entry_digest.hpp
@@ -27,6 +27,47 @@
     std::uint64_t answer_age_ms = 0; ///< Of that answer.
     double spent = 0;                ///< Requests sent since the entry's process started.
     double level = 0;                ///< Of the entry's copy of the bucket.
+    std::uint64_t copy_age_ms = 0;   ///< Of that copy, whose `spent` began at 0.
+    double cold_per_second = 0;      ///< While the entry knows that the server is cold.
+    std::uint64_t cold_ms = 0; ///< How much longer, not counting what others reported.
+};
+
+/// \brief Why a server returns to service.
+enum class return_cause : std::uint8_t
+{
+    started,    ///< Newly listed, or listed with a later start.
+    cold,       ///< It reports that it is cold.
+    taken_back, ///< Its failure domain is no longer evacuated.
+    recovered,  ///< From an ejection.
+    crashed,
+    rested
+};
+
+/// \brief Numbers of answers.
+struct answer_counts
+{
+    std::uint64_t good = 0;
+    std::uint64_t slow = 0; ///< Good, but far later than those of the server's peers.
+    std::uint64_t bad = 0;
+
+    [[nodiscard]] std::uint64_t total() const noexcept
+    {
+        return this->good + this->slow + this->bad;
+    }
+    [[nodiscard]] friend bool operator==(const answer_counts&,
+                                         const answer_counts&) = default;
+};
+
+/// \brief What an entry knows of a server that returns to service.
+struct server_return_report
+{
+    return_cause cause{};
+    std::uint32_t number = 0; ///< Increases with each return that the entry records.
+    std::uint64_t age_ms = 0; ///< Of the return.
+    double capacity_per_second = 0;
+    double start_share = 0; ///< Of the capacity, at which the pace started.
+    double pace = 0;        ///< Requests a second.
+    answer_counts answers;  ///< To this entry, since the return began.
 };
 
 /// \brief How much of an entry's state a digest contains.
@@ -58,6 +99,7 @@
     keyed_map<decode_claim> claims;               ///< By server id.
     keyed_map<std::int64_t> orphan_tokens;        ///< By server id.
     keyed_map<server_limit_report> server_limits; ///< By server id.
+    keyed_map<server_return_report> returns;      ///< By server id.
     quarantine_digest quarantine; ///< Whatever the entry knows, from any entry.
 };
 
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -15,7 +15,7 @@
 
 /// A digest is one array: the entry's name, then integers in a fixed order, where each
 /// list begins with its length.
-constexpr std::int64_t format_version = 6;
+constexpr std::int64_t format_version = 7;
 /// Amounts are sent as whole thousandths, which are shorter than floating point numbers.
 /// Requests earn hundredths of a repeat, so this is precise enough.
 constexpr double amount_scale = 1'000;
@@ -61,6 +61,27 @@
         items.push_back(report.answer_age_ms);
         items.push_back(std::llround(report.spent * amount_scale));
         items.push_back(std::llround(report.level * amount_scale));
+        items.push_back(report.copy_age_ms);
+        items.push_back(std::llround(report.cold_per_second * amount_scale));
+        items.push_back(report.cold_ms);
+    }
+}
+
+void append_returns(json& items, const keyed_map<server_return_report>& returns)
+{
+    items.push_back(returns.size());
+    for (const auto& [key, report] : returns)
+    {
+        items.push_back(to_integer(key.hash()));
+        items.push_back(static_cast<int>(report.cause));
+        items.push_back(report.number);
+        items.push_back(report.age_ms);
+        items.push_back(std::llround(report.capacity_per_second * amount_scale));
+        items.push_back(std::llround(report.start_share * amount_scale));
+        items.push_back(std::llround(report.pace * amount_scale));
+        items.push_back(report.answers.good);
+        items.push_back(report.answers.slow);
+        items.push_back(report.answers.bad);
     }
 }
 
@@ -259,7 +280,7 @@
 keyed_map<server_limit_report> read_server_limits(integer_reader& reader)
 {
     keyed_map<server_limit_report> limits;
-    const std::size_t length = reader.next_length(5);
+    const std::size_t length = reader.next_length(8);
     for (std::size_t index = 0; index < length; ++index)
     {
         server_limit_report& report = limits[reader.next_key()];
@@ -267,10 +288,33 @@
         report.answer_age_ms = reader.next_unsigned();
         report.spent = reader.next_amount();
         report.level = reader.next_amount();
+        report.copy_age_ms = reader.next_unsigned();
+        report.cold_per_second = reader.next_amount();
+        report.cold_ms = reader.next_unsigned();
     }
     return limits;
 }
 
+keyed_map<server_return_report> read_returns(integer_reader& reader)
+{
+    keyed_map<server_return_report> returns;
+    const std::size_t length = reader.next_length(10);
+    for (std::size_t index = 0; index < length; ++index)
+    {
+        server_return_report& report = returns[reader.next_key()];
+        report.cause = static_cast<return_cause>(reader.next());
+        report.number = static_cast<std::uint32_t>(reader.next_unsigned());
+        report.age_ms = reader.next_unsigned();
+        report.capacity_per_second = reader.next_amount();
+        report.start_share = reader.next_amount();
+        report.pace = reader.next_amount();
+        report.answers.good = reader.next_unsigned();
+        report.answers.slow = reader.next_unsigned();
+        report.answers.bad = reader.next_unsigned();
+    }
+    return returns;
+}
+
 quarantine_digest read_quarantine(integer_reader& reader)
 {
     quarantine_digest quarantine;
@@ -325,6 +369,7 @@
         items.push_back(tokens);
     }
     append_server_limits(items, digest.server_limits);
+    append_returns(items, digest.returns);
     append_quarantine(items, digest.quarantine);
     std::string bytes;
     json::to_msgpack(items, nlohmann::detail::output_adapter<char, std::string>(bytes));
@@ -365,6 +410,7 @@
     digest.claims = read_claims(reader);
     digest.orphan_tokens = read_orphans(reader);
     digest.server_limits = read_server_limits(reader);
+    digest.returns = read_returns(reader);
     digest.quarantine = read_quarantine(reader);
     if (!reader.valid() || scope < 0 || scope > static_cast<int>(digest_scope::delta))
     {
