Entry: cold servers are bounded, returning servers wait for their pace

Cause: servers that start, become cold or recover are flooded by all entries at once (docs/design/returning-servers.md). Change: returning_servers finds out which servers are cold (listing, replies, starts during traffic, failure domains taken back by entry_state::begin_domain_return, other entries' reports) and has server_limiter keep the service's cold_per_s. With pace_servers it also begins returns in server_pacer, counts the outcomes of attempts there, and passes the paces to the limiter. Plain calls wait for a paced server or take another one; model requests wait in their queue. A reservation at a paced server takes its own token and the decode's, which is refunded if unused. Paced servers get no memory reports, and releases only where a token is free. "All servers rest" counts rests and the servers' own limits only.

--- a/include/agateseam/server_health_tracker.hpp
+++ b/include/agateseam/server_health_tracker.hpp
@@ -65,6 +65,9 @@
     /// \brief Tells whether a server may be given work now.
     [[nodiscard]] bool allowed(const std::string& id, time_point now) const;
 
+    /// \brief Tells whether a server was ejected and no attempt has reached it since.
+    [[nodiscard]] bool is_ejected(const std::string& id) const;
+
     /// \brief Returns how much longer a server that refused a request should get none;
     /// zero when it may get one.
     [[nodiscard]] duration refusal_backoff_left(const std::string& id,
--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -36,9 +36,14 @@
     "entry not heard any more",
     "backend servers listed"};
 /// Events about one server; they are context only if the request was sent to that server.
-constexpr std::array<std::string_view, 4> server_events{
-    "backend server changed", "backend server gone", "server says it leaves",
-    "server rests"};
+constexpr std::array<std::string_view, 8> server_events{"backend server changed",
+                                                        "backend server gone",
+                                                        "server says it leaves",
+                                                        "server rests",
+                                                        "server is cold",
+                                                        "server returns",
+                                                        "server pace",
+                                                        "server at full pace"};
 
 template <typename List>
 bool contains(const List& list, std::string_view text)
@@ -144,6 +149,39 @@
     return "";
 }
 
+/// Describes how the pace of servers that are cold or return to service delayed the
+/// request; empty if it didn't.
+std::string pace_note(const request_explanation& explanation)
+{
+    std::int64_t waited_ms = 0;
+    std::int64_t waits = 0;
+    std::int64_t withheld = 0;
+    for (const request_log_line& line : explanation.lines)
+    {
+        if (!line.names_request)
+        {
+            continue;
+        }
+        const bool is_wait = string_field(line.fields, "event") == "waited for pace";
+        waits += is_wait ? 1 : 0;
+        waited_ms += is_wait ? integer_field(line.fields, "waited_ms") : 0;
+        withheld += string_field(line.fields, "reason") == "paced" ? 1 : 0;
+    }
+    std::string note;
+    if (waits > 0)
+    {
+        note = "; it waited " + std::to_string(waited_ms) +
+               " ms for the pace of servers that were cold or returned to service";
+    }
+    if (withheld > 0)
+    {
+        note += "; " + std::to_string(withheld) +
+                " attempts were withheld, as another request had taken the server's "
+                "pace";
+    }
+    return note;
+}
+
 std::string cause_of(const request_explanation& explanation, const json* end)
 {
     if (const json* cut = last_request_event(explanation, "request cut by the stop");
@@ -164,7 +202,8 @@
     if (outcome == "answered")
     {
         return "answered by server " + server + " in " + integer_text(*end, "took_ms") +
-               " ms, after " + integer_text(*end, "waited_ms") + " ms of waiting";
+               " ms, after " + integer_text(*end, "waited_ms") + " ms of waiting" +
+               pace_note(explanation);
     }
     if (outcome == "over_allowance")
     {
@@ -172,7 +211,7 @@
     }
     if (outcome == "no_decode_place" || outcome == "no_server_large_enough")
     {
-        return no_decode_place_cause(explanation);
+        return no_decode_place_cause(explanation) + pace_note(explanation);
     }
     if (outcome == "servers_rest")
     {
@@ -195,7 +234,8 @@
     }
     if (outcome == "no_server")
     {
-        return "no server could be given it: " + last_failed_step(explanation);
+        return "no server could be given it: " + last_failed_step(explanation) +
+               pace_note(explanation);
     }
     if (outcome == "answer_lost" || outcome == "no_answer_in_time")
     {
--- a/src/core/server_health_tracker.cpp
+++ b/src/core/server_health_tracker.cpp
@@ -107,6 +107,13 @@
     return now >= found->second.ejected_until && found->second.attempts_under_way == 0;
 }
 
+bool server_health_tracker::is_ejected(const std::string& id) const
+{
+    const auto found = this->servers.find(id);
+    return found != this->servers.end() &&
+           found->second.unreachable_in_row >= ejection_threshold;
+}
+
 duration server_health_tracker::refusal_backoff_left(const std::string& id,
                                                      time_point now) const
 {
--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -61,7 +61,7 @@
                                      std::string head,
                                      std::shared_ptr<const std::string> body,
                                      std::string request_id, time_point deadline,
-                                     caller_exchange* caller)
+                                     caller_exchange* caller, bool takes_next_send)
 {
     engine_call_result answer;
     answer.withheld = !state.accepts_work(server);
@@ -79,7 +79,8 @@
         state.pool.return_connection(link);
         co_return answer;
     }
-    answer.withheld = !state.try_begin_send(server);
+    const bool has_next_send = takes_next_send && state.is_paced(server.id, boot_now());
+    answer.withheld = !state.try_begin_send(server, has_next_send ? 2 : 1);
     if (answer.withheld)
     {
         state.pool.return_connection(link);
@@ -93,6 +94,7 @@
     const io_outcome head_end =
         co_await read_reply_head(state, server, *link, std::move(request_id), deadline);
     answer = co_await read_answer(state, link, head_end, deadline);
+    answer.has_next_send = has_next_send;
     if (caller != nullptr)
     {
         caller->on_disconnect(nullptr);
@@ -103,36 +105,37 @@
 void release_at_engine(entry_state& state, const backend_server& server, std::string head,
                        std::string_view step)
 {
-    spawn(*state.loop,
-          [&state, server, head = std::move(head),
-           step = std::string(step)]() mutable -> task<void>
-          {
-              const time_point deadline = boot_now() + release_timeout;
-              io_outcome end = io_outcome::not_sent;
-              if (takes_only_requests(state, server))
-              {
-                  co_return;
-              }
-              const auto link = co_await connect(state, server.address);
-              if (link && takes_only_requests(state, server))
-              {
-                  state.pool.return_connection(link);
-                  co_return;
-              }
-              if (link)
-              {
-                  link->send(std::move(head), nullptr);
-                  end = co_await read_reply_head(state, server, *link, "", deadline);
-                  end = (co_await read_answer(state, link, end, deadline)).end;
-              }
-              if (end != io_outcome::good)
-              {
-                  log_line(log_level::info, "engine call failed",
-                           {{"step", step},
-                            {"peer", server.address},
-                            {"end", to_string(end)}});
-              }
-          });
+    spawn(
+        *state.loop,
+        [&state, server, head = std::move(head),
+         step = std::string(step)]() mutable -> task<void>
+        {
+            const time_point deadline = boot_now() + release_timeout;
+            io_outcome end = io_outcome::not_sent;
+            if (takes_only_requests(state, server))
+            {
+                co_return;
+            }
+            const auto link = co_await connect(state, server.address);
+            if (link &&
+                (takes_only_requests(state, server) || !state.try_take_sends(server.id)))
+            {
+                state.pool.return_connection(link);
+                co_return;
+            }
+            if (link)
+            {
+                link->send(std::move(head), nullptr);
+                end = co_await read_reply_head(state, server, *link, "", deadline);
+                end = (co_await read_answer(state, link, end, deadline)).end;
+            }
+            if (end != io_outcome::good)
+            {
+                log_line(
+                    log_level::info, "engine call failed",
+                    {{"step", step}, {"peer", server.address}, {"end", to_string(end)}});
+            }
+        });
 }
 
 task<engine_call_result> call_entry(entry_state& state, const std::string& address,
--- a/src/gateway/entry_counters.cpp
+++ b/src/gateway/entry_counters.cpp
@@ -60,6 +60,11 @@
     found->second += amount;
 }
 
+void entry_counters::set(std::string_view name, double value)
+{
+    this->counts.insert_or_assign(std::string(name), value);
+}
+
 void entry_counters::observe(std::string_view name, duration elapsed)
 {
     const auto found = this->histograms.find(name);
--- a/src/gateway/entry_counters.hpp
+++ b/src/gateway/entry_counters.hpp
@@ -35,6 +35,8 @@
     /// \param name the metric with its labels, such as
     /// `agateseam_requests_total{outcome="ok"}`.
     void add(std::string_view name, double amount = 1);
+    /// \brief Sets a value that may also fall.
+    void set(std::string_view name, double value);
     void observe(std::string_view name, duration elapsed);
 
     [[nodiscard]] std::string text() const;
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -23,6 +23,8 @@
 
 constexpr int status_ok = 200;
 constexpr auto cleanup_interval = 250ms;
+/// A fraction of the interval in which the pace of a returning server changes.
+constexpr auto pace_update_interval = 50ms;
 constexpr auto settings_poll_interval =
     2'000ms; ///< The file may change without a signal.
 /// Part of the grace period that is reserved for the exit itself: the last answers, the
@@ -107,6 +109,10 @@
         spawn(this->loop, [this]() -> task<void> { co_await this->handle_signals(); });
         spawn(this->loop, [this]() -> task<void> { co_await this->run_cleanup(); });
         spawn(this->loop, [this]() -> task<void> { co_await this->watch_settings(); });
+        if (this->state.settings.pace_servers)
+        {
+            spawn(this->loop, [this]() -> task<void> { co_await this->update_paces(); });
+        }
         spawn(this->loop,
               [this]() -> task<void> { co_await poll_memory_reports(this->state); });
         spawn(this->loop,
@@ -408,6 +414,15 @@
         }
     }
 
+    task<void> update_paces()
+    {
+        for (;;)
+        {
+            co_await pause_for(this->loop, pace_update_interval);
+            this->state.returning.update(boot_now());
+        }
+    }
+
     task<void> watch_settings()
     {
         for (;;)
--- a/src/gateway/entry_state.cpp
+++ b/src/gateway/entry_state.cpp
@@ -13,6 +13,7 @@
     , backends(nullptr)
     , ledger(entry_settings.vm, entry_incarnation, entry_settings.ledger, boot_now())
     , limiter(entry_settings.vm)
+    , returning(*this)
     , quarantine(boot_now())
     , pool(entry_loop, upstream_options{})
     , digest_due(entry_loop)
@@ -48,27 +49,39 @@
            this->health.rest_left(server.id, boot_now()) <= duration::zero();
 }
 
-duration entry_state::limit_wait(const std::string& id, time_point now)
+duration entry_state::limit_wait(const std::string& id, time_point now, double requests)
 {
-    return this->is_limited(id)
+    return this->is_limited(id) || this->is_paced(id, now)
                ? this->limiter.time_until_send(id, this->ledger.reachable_peers(now),
-                                               this->ledger.view(now), now)
+                                               this->ledger.view(now), now, requests)
                : duration::zero();
 }
 
-bool entry_state::try_begin_send(const backend_server& server)
+duration entry_state::own_limit_wait(const std::string& id, time_point now)
+{
+    return this->is_limited(id) ? this->limit_wait(id, now) : duration::zero();
+}
+
+duration entry_state::pace_wait(const std::string& id, time_point now)
+{
+    return this->is_paced(id, now) && !this->is_limited(id) ? this->limit_wait(id, now)
+                                                            : duration::zero();
+}
+
+bool entry_state::try_begin_send(const backend_server& server, double requests)
+{
+    return this->accepts_work(server) && this->try_take_sends(server.id, requests);
+}
+
+bool entry_state::try_take_sends(const std::string& id, double requests)
 {
     const time_point now = boot_now();
-    if (!this->accepts_work(server))
-    {
-        return false;
-    }
-    if (!this->is_limited(server.id))
+    if (!this->is_limited(id) && !this->is_paced(id, now))
     {
         return true;
     }
-    if (!this->limiter.try_take(server.id, this->ledger.reachable_peers(now),
-                                this->ledger.view(now), now))
+    if (!this->limiter.try_take(id, this->ledger.reachable_peers(now),
+                                this->ledger.view(now), now, requests))
     {
         return false;
     }
@@ -88,7 +101,7 @@
             continue;
         }
         const duration wait = std::max(this->health.rest_left(server->id, now),
-                                       this->limit_wait(server->id, now));
+                                       this->own_limit_wait(server->id, now));
         if (wait <= duration::zero())
         {
             return std::nullopt;
@@ -121,6 +134,7 @@
         }
         this->versions.set_listed(service, std::move(listed), boot_now());
     }
+    this->returning.note_listing(boot_now());
     if (!this->routing)
     {
         return;
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -30,6 +30,7 @@
 #include <gateway/entry_counters.hpp>
 #include <gateway/gateway_settings.hpp>
 #include <gateway/region_filter.hpp>
+#include <gateway/returning_servers.hpp>
 #include <transport/upstream_connection.hpp>
 
 namespace agateseam
@@ -77,9 +78,16 @@
     /// leaves, and doesn't rest.
     [[nodiscard]] bool accepts_work(const backend_server& server) const;
 
-    /// \brief Returns how long until a server's limit admits a request of this entry;
-    /// zero without a limit.
-    [[nodiscard]] duration limit_wait(const std::string& id, time_point now);
+    /// \brief Returns how long until a server's limit, cold bound and pace admit requests
+    /// of this entry; zero without any.
+    [[nodiscard]] duration limit_wait(const std::string& id, time_point now,
+                                      double requests = 1);
+
+    /// \brief Returns `limit_wait` of a server that limits its requests itself.
+    [[nodiscard]] duration own_limit_wait(const std::string& id, time_point now);
+
+    /// \brief Returns `limit_wait` of a server that only a cold bound or a pace limits.
+    [[nodiscard]] duration pace_wait(const std::string& id, time_point now);
 
     /// \brief Tells whether a server limits its requests.
     [[nodiscard]] bool is_limited(const std::string& id) const
@@ -87,9 +95,26 @@
         return this->limiter.limit(id).has_value();
     }
 
+    /// \brief Tells whether a cold bound or a pace limits the requests to a server.
+    [[nodiscard]] bool is_paced(const std::string& id, time_point now) const
+    {
+        return this->limiter.is_paced(id, now);
+    }
+
     /// \brief Takes what a request to a server needs, just before it is sent.
     /// \returns false if the server accepts no work now, and nothing may be sent.
-    [[nodiscard]] bool try_begin_send(const backend_server& server);
+    /// \param requests how many are taken, of which the others follow.
+    [[nodiscard]] bool try_begin_send(const backend_server& server, double requests = 1);
+
+    /// \brief Takes requests from a server's limit, cold bound and pace; always succeeds
+    /// without any.
+    [[nodiscard]] bool try_take_sends(const std::string& id, double requests = 1);
+
+    /// \brief Notes that a failure domain was taken back into service.
+    void begin_domain_return(std::string_view domain, time_point now)
+    {
+        this->returning.begin_domain_return(domain, now);
+    }
 
     /// \brief Returns how long the servers of a service that run whole requests or decode
     /// all rest, or are at their limits; nothing if one isn't or there is none.
@@ -118,6 +143,7 @@
     fleet_ledger ledger;
     server_health_tracker health;
     server_limiter limiter;
+    returning_servers returning;
     part_quarantine quarantine;
     /// Claims the next trial of a block for this entry; false when it can't be had.
     std::function<task<bool>(part_block)> claim_trial;
--- a/src/gateway/memory_report_poller.cpp
+++ b/src/gateway/memory_report_poller.cpp
@@ -47,7 +47,8 @@
     for (const auto& server : state.engines(service).placement.decode_servers())
     {
         if (state.ledger.polls_server(server->id, now) &&
-            state.health.allowed(server->id, now) && !state.is_limited(server->id))
+            state.health.allowed(server->id, now) && !state.is_limited(server->id) &&
+            !state.is_paced(server->id, now))
         {
             spawn(*state.loop,
                   [&state, service, server]() -> task<void>
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -256,7 +256,7 @@
     retry_decision withhold(decode_place& place, const std::string& kv_source)
     {
         log_failure(*this->scope, "decode withheld", place.chosen_server().id,
-                    "accepts no work");
+                    this->scope->withheld_reason(place.chosen_server()));
         this->place_search.release(place);
         this->unused_kv_source = kv_source;
         this->is_withheld = true;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -165,6 +165,7 @@
                 : std::optional(now - interval * digest_reducer::resent_digests);
         digest.quarantine = this->state->quarantine.make_digest(changed_since, now);
         digest.server_limits = this->state->limiter.make_reports(changed_since, now);
+        digest.returns = this->state->returning.make_reports(changed_since, now);
         const bool is_delta = digest.scope == digest_scope::delta;
         this->send_datagram(encode_digest(digest),
                             is_delta ? delta_fanout : this->peers.size());
@@ -314,8 +315,12 @@
     }
     this->peers[digest->entry] = from;
     this->link->note_store_era(digest->store_era);
-    this->state->limiter.apply(digest->entry, digest->incarnation, digest->server_limits,
-                               now);
+    this->state->returning.note_cold_reports(
+        this->state->limiter.apply(digest->entry, digest->incarnation,
+                                   digest->server_limits, now),
+        now);
+    this->state->returning.apply(digest->entry, digest->incarnation, digest->returns,
+                                 now);
     // Passed on, as not all entries may reach the one that it comes from.
     if (this->state->quarantine.apply(digest->quarantine, now))
     {
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -15,12 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr int status_ok = 200;
-/// A request waits for at most this part of the time that its caller gives it. Then it is
-/// refused, with enough time left for the caller to come back.
-constexpr int max_wait_divisor = 3;
-/// A request waits for at most this many times its target latency. Callers who have got
-/// nothing by four times of it leave, and then have waited in vain.
-constexpr int max_wait_target_factor = 3;
 /// A waiting request looks for capacity at least this often, as reservations expire
 /// without a notification.
 constexpr auto poll_interval = 25ms;
@@ -57,26 +51,12 @@
     return this->engines->placement.could_hold(this->expected_memory.prompt_tokens);
 }
 
-/// Returns until when the request may wait for a place.
-time_point place_finder::max_wait_end() const
-{
-    if (this->scope->possible_runs > 0)
-    {
-        // Its caller has a part of the answer and can't begin anew elsewhere.
-        return this->scope->deadline;
-    }
-    const time_point arrived = this->scope->exchange->request().arrived;
-    return arrived + std::min<duration>(
-                         (this->scope->deadline - arrived) / max_wait_divisor,
-                         this->scope->route->target_latency * max_wait_target_factor);
-}
-
 /// Waits in the queue until a decode server has capacity and reserves memory there.
 task<std::unique_ptr<decode_place>> place_finder::find()
 {
     const time_point arrived = this->scope->exchange->request().arrived;
     const duration target_latency = this->scope->route->target_latency;
-    const time_point wait_until = this->max_wait_end();
+    const time_point wait_until = this->scope->max_wait_end();
     const waiting_request waiting{this->scope->priority(), arrived,
                                   arrived + target_latency -
                                       this->engines->latency.expected_first_event_time()};
@@ -133,6 +113,7 @@
         {
             this->reserved_at = boot_now();
             this->scope->queue_time = this->reserved_at - arrived;
+            this->record_pace_wait(server->id);
             this->log_reserved(*server);
             co_return place;
         }
@@ -152,6 +133,7 @@
     }
     this->leave_queue(ticket);
     this->scope->queue_time = boot_now() - arrived;
+    this->record_pace_wait("");
     this->engines->capacity_changed.notify();
     this->log_not_reserved(
         this->scope->exchange->disconnected()           ? "caller gone"
@@ -233,10 +215,16 @@
 std::shared_ptr<const backend_server> place_finder::choose(time_point now,
                                                            std::string_view excluded)
 {
+    this->is_place_paced = false;
     auto server = this->version || this->engines->spare_versions.empty()
                       ? nullptr
                       : this->choose(now, excluded, true);
-    return server ? server : this->choose(now, excluded, false);
+    server = server ? server : this->choose(now, excluded, false);
+    if (!server && this->is_place_paced && !this->pace_wait_since)
+    {
+        this->pace_wait_since = now;
+    }
+    return server;
 }
 
 std::shared_ptr<const backend_server>
@@ -253,12 +241,39 @@
             return is_of_version && server.id != excluded &&
                    this->scope->region.allows(server) &&
                    this->state->health.allowed(server.id, now) &&
-                   this->state->limit_wait(server.id, now) <= duration::zero() &&
                    this->state->health.return_delay_left(server.id, now) <=
-                       duration::zero();
+                       duration::zero() &&
+                   this->may_send_to(server, now);
         });
 }
 
+/// Tells whether the server's limit, cold bound and pace admit the calls of one place.
+bool place_finder::may_send_to(const backend_server& server, time_point now)
+{
+    const bool is_paced =
+        this->state->is_paced(server.id, now) && !this->state->is_limited(server.id);
+    const bool may_send =
+        this->state->limit_wait(server.id, now,
+                                is_paced && this->takes_reservations() ? 2 : 1) <=
+        duration::zero();
+    this->is_place_paced |= is_paced && !may_send;
+    return may_send;
+}
+
+bool place_finder::takes_reservations() const
+{
+    return this->properties.max_reservation_time > milliseconds(0);
+}
+
+void place_finder::record_pace_wait(std::string_view server)
+{
+    if (this->pace_wait_since)
+    {
+        this->scope->record_pace_wait(server, *this->pace_wait_since);
+        this->pace_wait_since.reset();
+    }
+}
+
 bool place_finder::has_server_of_version() const
 {
     if (!this->version)
@@ -313,9 +328,10 @@
         // Of the requests that the server takes, none is spent on a reservation.
         co_return this->begin_send(place);
     }
-    if (this->properties.max_reservation_time <= milliseconds(0))
+    if (!this->takes_reservations())
     {
-        co_return true;
+        co_return !this->state->is_paced(place.chosen_server().id, boot_now()) ||
+            this->begin_send(place);
     }
     const auto lifetime = std::min<milliseconds>(this->properties.max_reservation_time,
                                                  max_reservation_lifetime);
@@ -323,11 +339,12 @@
         co_await call_engine(*this->state, place.chosen_server(),
                              this->state->dialect->write_reservation_request(
                                  place.chosen_server(), this->initial_tokens(), lifetime),
-                             nullptr, "", boot_now() + reserve_timeout, nullptr);
+                             nullptr, "", boot_now() + reserve_timeout, nullptr, true);
     if (answer.withheld)
     {
         co_return false;
     }
+    place.has_send = answer.has_next_send;
     const bool no_reply = answer.end != io_outcome::good;
     if (no_reply)
     {
@@ -337,6 +354,7 @@
     if (no_reply || answer.head.status != status_ok)
     {
         this->state->counters.add("agateseam_reservations_total{outcome=\"refused\"}");
+        this->refund_send(place);
         co_return false;
     }
     auto reservation = this->state->dialect->read_reservation_reply(answer.body);
@@ -344,6 +362,7 @@
     {
         log_error("invalid reservation reply ignored", reservation.error(),
                   {{"request", this->scope->metadata.id}});
+        this->refund_send(place);
         co_return false;
     }
     this->state->counters.add("agateseam_reservations_total{outcome=\"held\"}");
@@ -358,12 +377,17 @@
     return place.has_send;
 }
 
-void place_finder::release(decode_place& place)
+void place_finder::refund_send(decode_place& place)
 {
     if (std::exchange(place.has_send, false))
     {
         this->state->limiter.refund(place.chosen_server().id, boot_now());
     }
+}
+
+void place_finder::release(decode_place& place)
+{
+    this->refund_send(place);
     if (!place.reservation.empty())
     {
         release_at_engine(*this->state, place.chosen_server(),
--- a/src/gateway/place_finder.hpp
+++ b/src/gateway/place_finder.hpp
@@ -63,7 +63,10 @@
     [[nodiscard]] std::shared_ptr<const backend_server>
     choose(time_point now, std::string_view excluded, bool needs_spare);
     [[nodiscard]] bool has_spare(const backend_server& server) const;
-    [[nodiscard]] time_point max_wait_end() const;
+    [[nodiscard]] bool may_send_to(const backend_server& server, time_point now);
+    [[nodiscard]] bool takes_reservations() const;
+    void record_pace_wait(std::string_view server);
+    void refund_send(decode_place& place);
     [[nodiscard]] std::int64_t initial_tokens() const;
     task<bool> reserve(decode_place& place);
     void leave_queue(waiting_queue::ticket ticket);
@@ -78,6 +81,8 @@
     std::optional<name_key> version; ///< The only one that may be used.
     time_point reserved_at{};
     bool is_queued = false;
+    bool is_place_paced = false; ///< A server was left out for its pace alone.
+    std::optional<time_point> pace_wait_since;
     std::uint32_t reservations_refused = 0;
 };
 
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -1,6 +1,7 @@
 #include <gateway/plain_call.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include <agateseam/attempt_policy.hpp>
@@ -32,6 +33,10 @@
 /// When every server is full, a request waits for at most this fraction of the target
 /// latency.
 constexpr double max_wait_target_fraction = 0.5;
+/// Pauses of a request that waits for a paced server. A server may get to full pace, or
+/// the caller may leave, meanwhile.
+constexpr auto min_pace_pause = 1ms;
+constexpr auto max_pace_pause = 50ms;
 /// Added to the rank of a server of another failure domain, in requests.
 constexpr double other_domain_penalty = 0.6;
 /// Servers that are examined for one request, from a random one on, unless none of them
@@ -46,6 +51,8 @@
     attempt_outcome end = attempt_outcome::not_sent;
     bool withheld = false;  ///< Not sent: the server accepts no work, or it is blocked.
     bool is_broken = false; ///< The server ended the connection.
+    /// Whether the caller left, or had too little time, before anything was sent.
+    bool is_given_up = false;
     message_head head;
     std::string body;
 };
@@ -97,45 +104,77 @@
     }
 
   private:
-    /// Chooses a server. When all are full, waits for one of them for a limited time.
+    /// Chooses a server. When all are full, waits for one of them for a limited time, and
+    /// then uses a full one. Waits for longer if all have to wait for their pace, and
+    /// then uses none: nothing more may be sent to these.
     task<std::shared_ptr<const backend_server>> find_server()
     {
         const time_point wait_until = this->scope->exchange->request().arrived +
                                       this->fraction_of_target(max_wait_target_fraction);
+        const time_point pace_wait_until =
+            std::max(wait_until, this->scope->max_wait_end());
+        std::optional<time_point> pace_wait_since;
         for (;;)
         {
             const time_point now = boot_now();
-            auto server = this->choose(now);
-            const duration backoff =
-                server ? this->backoff_left(server->id, now) : duration::zero();
-            if (backoff <= duration::zero() || now >= wait_until ||
+            const bool takes_full = now >= wait_until;
+            auto server = this->choose(now, takes_full);
+            const duration pace_wait =
+                server ? this->state->pace_wait(server->id, now) : duration::zero();
+            const duration backoff = !server      ? duration::zero()
+                                     : takes_full ? pace_wait
+                                                  : this->backoff_left(server->id, now);
+            if (pace_wait > duration::zero() && !pace_wait_since)
+            {
+                pace_wait_since = now;
+            }
+            if (backoff <= duration::zero() || now >= pace_wait_until ||
                 this->scope->exchange->disconnected() ||
                 this->scope->part_block_in_force() != nullptr)
             {
+                if (pace_wait_since)
+                {
+                    this->scope->record_pace_wait(server ? server->id : "",
+                                                  *pace_wait_since);
+                }
+                if (pace_wait > duration::zero())
+                {
+                    co_return nullptr;
+                }
                 if (server)
                 {
                     this->state->health.record_choice(server->id, now);
                 }
                 co_return server;
             }
-            co_await pause_for(*this->state->loop,
-                               std::min<duration>(backoff, wait_until - now));
+            const duration step =
+                pace_wait > duration::zero()
+                    ? std::clamp<duration>(backoff, min_pace_pause, max_pace_pause)
+                    : backoff;
+            co_await pause_for(
+                *this->state->loop,
+                std::min<duration>(step,
+                                   (takes_full ? pace_wait_until : wait_until) - now));
         }
     }
 
-    /// Returns how much longer a server that was full or has rested should get no
-    /// request.
+    /// Returns how much longer a server that was full, has rested or is paced should get
+    /// no request.
     [[nodiscard]] duration backoff_left(const std::string& id, time_point now) const
     {
-        return std::max(this->state->health.refusal_backoff_left(id, now),
-                        this->state->health.return_delay_left(id, now));
+        return std::max({this->state->health.refusal_backoff_left(id, now),
+                         this->state->health.return_delay_left(id, now),
+                         this->state->pace_wait(id, now)});
     }
 
     /// Returns the best server that isn't full, or else the one whose backoff ends first.
-    [[nodiscard]] std::shared_ptr<const backend_server> choose(time_point now)
+    /// \param takes_full whether any full server is better than one that waits for its
+    /// pace.
+    [[nodiscard]] std::shared_ptr<const backend_server> choose(time_point now,
+                                                               bool takes_full)
     {
         std::shared_ptr<const backend_server> best;
-        std::pair<duration, double> best_rank;
+        std::tuple<duration, duration, double> best_rank;
         const auto& servers = this->state->servers_of(this->scope->service);
         const std::size_t first =
             servers.empty() ? 0 : this->state->random() % servers.size();
@@ -143,7 +182,7 @@
         {
             const auto& server = servers[(first + examined) % servers.size()];
             if (examined >= max_servers_examined && best &&
-                best_rank.first <= duration::zero())
+                std::get<1>(best_rank) <= duration::zero())
             {
                 break;
             }
@@ -157,7 +196,8 @@
                         : other_domain_penalty;
             // Smaller than any other difference, so that it decides only between equals.
             rank += 1e-3 * (this->state->random() % 100);
-            const std::pair<duration, double> full_rank{
+            const std::tuple<duration, duration, double> full_rank{
+                takes_full ? this->state->pace_wait(server->id, now) : duration::zero(),
                 this->backoff_left(server->id, now), rank};
             if (!best || full_rank < best_rank)
             {
@@ -179,7 +219,9 @@
                                return server->id != this->scope->server &&
                                       this->is_candidate(*server, now) &&
                                       this->state->health.refusal_backoff_left(
-                                          server->id, now) <= duration::zero();
+                                          server->id, now) <= duration::zero() &&
+                                      this->state->pace_wait(server->id, now) <=
+                                          duration::zero();
                            });
     }
 
@@ -189,7 +231,7 @@
                    this->tried.end() &&
                this->scope->region.allows(server) &&
                this->state->health.allowed(server.id, now) &&
-               this->state->limit_wait(server.id, now) <= duration::zero();
+               this->state->own_limit_wait(server.id, now) <= duration::zero();
     }
 
     [[nodiscard]] duration fraction_of_target(double fraction) const
@@ -262,14 +304,14 @@
         {
             this->state->health.withdraw(server.id);
             log_failure(*this->scope, "attempt withheld", server.id,
-                        this->scope->part_block_in_force() != nullptr
-                            ? "blocked"
-                            : "accepts no work");
+                        this->scope->withheld_reason(server));
             co_return outcome;
         }
         const time_point now = boot_now();
-        this->state->health.end(server.id, this->observation_of(outcome),
-                                now - started_at, now);
+        const bool is_servers_doing =
+            !outcome.is_given_up && !this->scope->exchange->disconnected();
+        this->state->returning.end_attempt(server.id, this->observation_of(outcome),
+                                           now - started_at, now, is_servers_doing);
         this->record_effect(server, outcome);
         if (outcome.end != attempt_outcome::answered)
         {
@@ -309,12 +351,14 @@
         if (exchange.disconnected())
         {
             this->state->pool.return_connection(link);
+            outcome.is_given_up = true;
             co_return outcome;
         }
         const milliseconds left = time_left(*this->scope);
         if (left < min_attempt_time || !this->scope->is_key_valid())
         {
             link->close();
+            outcome.is_given_up = true;
             co_return outcome;
         }
         outcome.withheld = this->scope->part_block_in_force() != nullptr ||
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -104,7 +104,8 @@
     if (reply.withheld)
     {
         --this->call_count;
-        log_failure(*this->scope, "prefill withheld", candidate->id, "accepts no work");
+        log_failure(*this->scope, "prefill withheld", candidate->id,
+                    this->scope->withheld_reason(*candidate));
         co_return "";
     }
     if (reply.end != io_outcome::good)
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -13,6 +13,12 @@
 
 /// A plain request has ended by then or won't succeed.
 constexpr auto max_plain_duration = 1'500ms;
+/// A request waits for at most this part of the time that its caller gives it. Then it is
+/// refused, with enough time left for the caller to come back.
+constexpr int max_wait_divisor = 3;
+/// A request waits for at most this many times its target latency. Callers who have got
+/// nothing by four times of it leave, and then have waited in vain.
+constexpr int max_wait_target_factor = 3;
 constexpr auto stopping_retry_after = 50ms;
 /// Callers that were refused during a rest come back within as long as was left of it,
 /// but at least and at most these times, after its end.
@@ -33,6 +39,37 @@
            this->metadata.declares_tokens && this->route->rule == repeat_rule::stream;
 }
 
+time_point request_scope::max_wait_end() const
+{
+    if (this->possible_runs > 0)
+    {
+        // Its caller has a part of the answer and can't begin anew elsewhere.
+        return this->deadline;
+    }
+    const time_point arrived = this->exchange->request().arrived;
+    return arrived +
+           std::min<duration>((this->deadline - arrived) / max_wait_divisor,
+                              this->route->target_latency * max_wait_target_factor);
+}
+
+void request_scope::record_pace_wait(std::string_view waited_for, time_point since) const
+{
+    this->state->counters.add("agateseam_paced_waits_total");
+    log_line(log_level::info, "waited for pace",
+             {{"request", this->metadata.id},
+              {"server", waited_for},
+              {"waited_ms", whole_milliseconds(boot_now() - since)}});
+}
+
+std::string_view request_scope::withheld_reason(const backend_server& withheld_at) const
+{
+    const time_point now = boot_now();
+    return this->part_block_in_force() != nullptr       ? "blocked"
+           : !this->state->accepts_work(withheld_at)    ? "accepts no work"
+           : this->state->is_paced(withheld_at.id, now) ? "paced"
+                                                        : "accepts no work";
+}
+
 bool request_scope::has_server_in_region(bool decodes) const
 {
     if (!this->region.is_restricted())
@@ -77,6 +114,7 @@
     this->state->quarantine.record_crash(
         this->parts, name_key(crashed.id + "/" + std::to_string(crashed.born_ms)),
         without_event, boot_now());
+    this->state->returning.record_crash(crashed, boot_now());
     this->state->digest_due.notify();
     std::string keys;
     for (const name_key part : this->parts.keys)
@@ -198,7 +236,7 @@
                         server_observation observation, duration elapsed)
 {
     state.health.begin(server);
-    state.health.end(server, observation, elapsed, boot_now());
+    state.returning.end_attempt(server, observation, elapsed, boot_now());
 }
 
 void log_failure(const request_scope& scope, std::string_view event,
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -52,6 +52,17 @@
                    : this->route->priority;
     }
 
+    /// \brief Returns until when the request may wait for a server.
+    [[nodiscard]] time_point max_wait_end() const;
+
+    /// \brief Records that the request waited for the pace of a returning or cold server.
+    /// \param waited_for the server's id; empty if it may have been any of several.
+    void record_pace_wait(std::string_view waited_for, time_point since) const;
+
+    /// \brief Returns why nothing was sent to a server, for the log.
+    [[nodiscard]] std::string_view
+    withheld_reason(const backend_server& withheld_at) const;
+
     /// \brief Tells whether a usable server is in a region where the request may run.
     /// \param decodes whether only servers that decode count.
     [[nodiscard]] bool has_server_in_region(bool decodes) const;
@@ -132,7 +143,7 @@
 /// \brief Returns the time limit that is forwarded to a server.
 [[nodiscard]] std::chrono::milliseconds time_left(const request_scope& scope);
 
-/// \brief Records the outcome of one call in the health of its server.
+/// \brief Records the outcome of one call in the health and pace of its server.
 void record_observation(entry_state& state, const std::string& server,
                         server_observation observation, duration elapsed);
 
--- a/src/gateway/server_replies.cpp
+++ b/src/gateway/server_replies.cpp
@@ -68,6 +68,10 @@
         return;
     }
     record_limit(state, server, reply, request_sent_at);
+    if (reply.cold_remaining)
+    {
+        state.returning.record_cold(server, *reply.cold_remaining, boot_now());
+    }
     if (reply.leaving)
     {
         record_leaving(state, server);
--- a/tests/unit/request_explanation_test.cpp
+++ b/tests/unit/request_explanation_test.cpp
@@ -178,3 +178,29 @@
           std::vector<std::string>{"store era changed", "configuration behind in store",
                                    "request"});
 }
+
+TEST_CASE("an explanation names waits and withheld attempts for the pace of a server")
+{
+    // Guards against a late or refused request whose explanation names no cause.
+    request_explainer explainer("q1");
+    explainer.add_line(log_line_text(8'900'000, "e1", "server returns",
+                                     R"(,"server":"i-1","cause":"started","pace":4)"));
+    explainer.add_line(
+        log_line_text(8'950'000, "e1", "server pace", R"(,"server":"i-2","pace":8)"));
+    explainer.add_line(
+        log_line_text(9'000'000, "e1", "attempt withheld",
+                      R"(,"request":"q1","server":"i-1","reason":"paced")"));
+    explainer.add_line(
+        log_line_text(9'100'000, "e1", "waited for pace",
+                      R"(,"request":"q1","server":"i-1","waited_ms":100)"));
+    explainer.add_line(log_line_text(
+        9'200'000, "e1", "request",
+        R"(,"request":"q1","outcome":"answered","server":"i-1","took_ms":200)"));
+    const auto explanation = explainer.explain();
+    REQUIRE(explanation);
+    CHECK(events_of(*explanation) ==
+          std::vector<std::string>{"server returns", "attempt withheld",
+                                   "waited for pace", "request"});
+    CHECK(explanation->cause.find("waited 100 ms for the pace") != std::string::npos);
+    CHECK(explanation->cause.find("1 attempts were withheld") != std::string::npos);
+}
