--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -175,9 +175,8 @@
     }
     if (withheld > 0)
     {
-        note += "; " + std::to_string(withheld) +
-                " attempts were withheld, as another request had taken the server's "
-                "pace";
+        note += "; attempts withheld, as other requests had used up the server's pace: " +
+                std::to_string(withheld);
     }
     return note;
 }
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -89,6 +89,10 @@
                 this->engines->others_waiting.competitors(rank_of(waiting, now)));
             server = this->choose(now);
         }
+        if (!server && this->is_place_paced && !this->pace_wait_since)
+        {
+            this->pace_wait_since = now;
+        }
         if (!server && !std::exchange(is_announced, true))
         {
             this->state->digest_due.notify();
@@ -219,12 +223,7 @@
     auto server = this->version || this->engines->spare_versions.empty()
                       ? nullptr
                       : this->choose(now, excluded, true);
-    server = server ? server : this->choose(now, excluded, false);
-    if (!server && this->is_place_paced && !this->pace_wait_since)
-    {
-        this->pace_wait_since = now;
-    }
-    return server;
+    return server ? server : this->choose(now, excluded, false);
 }
 
 std::shared_ptr<const backend_server>
@@ -372,8 +371,12 @@
 
 bool place_finder::begin_send(decode_place& place)
 {
-    place.has_send = place.has_send ? this->state->accepts_work(place.chosen_server())
-                                    : this->state->try_begin_send(place.chosen_server());
+    if (place.has_send)
+    {
+        // A request that stays unused is refunded by the place's release.
+        return this->state->accepts_work(place.chosen_server());
+    }
+    place.has_send = this->state->try_begin_send(place.chosen_server());
     return place.has_send;
 }
 
--- a/src/gateway/returning_servers.cpp
+++ b/src/gateway/returning_servers.cpp
@@ -164,7 +164,6 @@
     if (this->pacer.begin_return(server.id, cause, this->capacity(server, now),
                                  this->peers_latency(server), now))
     {
-        known.returned_at = now;
         this->state->digest_due.notify();
     }
     this->update(now);
@@ -174,7 +173,8 @@
                                     duration elapsed, time_point now,
                                     bool is_servers_doing)
 {
-    const bool was_ejected = this->state->health.is_ejected(id);
+    const bool was_ejected =
+        this->state->settings.pace_servers && this->state->health.is_ejected(id);
     this->state->health.end(id, observation, elapsed, now);
     if (!this->state->settings.pace_servers || !is_servers_doing)
     {
@@ -217,6 +217,11 @@
     for (const pace_step& step : steps)
     {
         this->state->limiter.set_pace(step.server, step.pace, now);
+        const auto found = this->known_servers.find(step.server);
+        if (step.is_first && found != this->known_servers.end())
+        {
+            found->second.returned_at = now;
+        }
         this->log_step(step);
     }
     if (!steps.empty())
--- a/src/gateway/returning_servers.hpp
+++ b/src/gateway/returning_servers.hpp
@@ -76,7 +76,7 @@
         std::chrono::milliseconds stated_cold{0}; ///< By the latest listing.
         time_point cold_until{};
         time_point last_listed{};
-        time_point returned_at{}; ///< When this entry last saw a return begin.
+        time_point returned_at{}; ///< When its last return began, as this entry knows.
     };
 
     /// Returns whether the server's start counts as one during traffic.
