Merge cold bounds, paces and regions with evacuations

A failure domain that is taken back bounds its servers before they are published, and an attempt withheld for an evacuation is named so beside those for a pace.

--- a/src/gateway/evacuation_changes.cpp
+++ b/src/gateway/evacuation_changes.cpp
@@ -76,9 +76,17 @@
     {
         return;
     }
+    const auto servers = state.directory.all();
+    for (const evacuation_change& change : changes)
+    {
+        if (!change.evacuated)
+        {
+            // Bounds the servers before requests can choose them.
+            state.begin_domain_return(name_of(state, servers, change), boot_now());
+        }
+    }
     state.publish_servers();
     state.digest_due.notify();
-    const auto servers = state.directory.all();
     for (const evacuation_change& change : changes)
     {
         state.counters.add("agateseam_evacuation_changes_total");
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -256,7 +256,7 @@
     retry_decision withhold(decode_place& place, const std::string& kv_source)
     {
         log_failure(*this->scope, "decode withheld", place.chosen_server().id,
-                    this->state->refusal_reason(place.chosen_server()));
+                    this->scope->withheld_reason(place.chosen_server()));
         this->place_search.record_lost_place(place.chosen_server());
         this->place_search.release(place);
         this->unused_kv_source = kv_source;
@@ -686,7 +686,13 @@
                                        make_blocked_answer(*this->scope, *block));
             co_return;
         }
-        const auto rest = this->state->time_all_busy(this->scope->service, boot_now());
+        if (decision == retry_decision::report_not_run &&
+            !this->scope->has_server_in_region(true))
+        {
+            co_await send_local_answer(*this->scope, make_region_answer());
+            co_return;
+        }
+        const auto rest = this->scope->time_all_busy(boot_now());
         if (decision == retry_decision::report_not_run && rest)
         {
             co_await send_local_answer(*this->scope,
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -15,12 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr int status_ok = 200;
-/// A request waits for at most this part of the time that its caller gives it. Then it is
-/// refused, with enough time left for the caller to come back.
-constexpr int max_wait_divisor = 3;
-/// A request waits for at most this many times its target latency. Callers who have got
-/// nothing by four times of it leave, and then have waited in vain.
-constexpr int max_wait_target_factor = 3;
 /// A waiting request looks for capacity at least this often, as reservations expire
 /// without a notification.
 constexpr auto poll_interval = 25ms;
@@ -57,26 +51,11 @@
     return this->engines->placement.could_hold(this->expected_memory.prompt_tokens);
 }
 
-/// Returns until when the request may wait for a place.
-time_point place_finder::max_wait_end() const
-{
-    if (this->scope->possible_runs > 0)
-    {
-        // Its caller has a part of the answer and can't begin anew elsewhere.
-        return this->scope->deadline;
-    }
-    const time_point begin =
-        std::max(this->scope->exchange->request().arrived, this->place_lost_at);
-    return begin + std::min<duration>((this->scope->deadline - begin) / max_wait_divisor,
-                                      this->scope->route->target_latency *
-                                          max_wait_target_factor);
-}
-
 void place_finder::record_lost_place(const backend_server& server)
 {
     if (this->state->is_evacuated(server))
     {
-        this->place_lost_at = boot_now();
+        this->scope->place_lost_at = boot_now();
     }
 }
 
@@ -85,7 +64,7 @@
 {
     const time_point arrived = this->scope->exchange->request().arrived;
     const duration target_latency = this->scope->route->target_latency;
-    time_point wait_until = this->max_wait_end();
+    time_point wait_until = this->scope->max_wait_end();
     const waiting_request waiting{this->scope->priority(), arrived,
                                   arrived + target_latency -
                                       this->engines->latency.expected_first_event_time()};
@@ -103,8 +82,8 @@
         if (now >= std::min(wait_until, this->scope->deadline) ||
             !this->scope->is_key_valid() ||
             this->scope->part_block_in_force() != nullptr ||
-            this->state->time_all_busy(this->scope->service, now) ||
-            !this->has_server_of_version() ||
+            this->scope->time_all_busy(now) || !this->has_server_of_version() ||
+            !this->scope->has_server_in_region(true) ||
             (!is_bound && now + this->expected_wait() > wait_until) ||
             this->scope->may_not_start(now + this->expected_wait()))
         {
@@ -118,6 +97,10 @@
                 this->engines->others_waiting.competitors(rank_of(waiting, now)));
             server = this->choose(now);
         }
+        if (!server && this->is_place_paced && !this->pace_wait_since)
+        {
+            this->pace_wait_since = now;
+        }
         if (!server && !std::exchange(is_announced, true))
         {
             this->state->digest_due.notify();
@@ -142,6 +125,7 @@
         {
             this->reserved_at = boot_now();
             this->scope->queue_time = this->reserved_at - arrived;
+            this->record_pace_wait(server->id);
             this->log_reserved(*server);
             co_return place;
         }
@@ -153,7 +137,7 @@
         }
         place.reset();
         this->record_lost_place(*server);
-        wait_until = this->max_wait_end();
+        wait_until = this->scope->max_wait_end();
         ++this->reservations_refused;
         this->engines->placement.record_refusal(server->id, boot_now());
         if (!is_bound)
@@ -164,15 +148,16 @@
     }
     this->leave_queue(ticket);
     this->scope->queue_time = boot_now() - arrived;
+    this->record_pace_wait("");
     this->engines->capacity_changed.notify();
-    this->log_not_reserved(this->scope->exchange->disconnected()    ? "caller gone"
-                           : this->scope->may_not_start(boot_now()) ? "stopping"
-                           : this->scope->part_block_in_force() != nullptr
-                               ? "blocked parts"
-                           : this->state->time_all_busy(this->scope->service, boot_now())
-                               ? "all servers rest"
-                           : !this->has_server_of_version() ? "no server of its version"
-                                                            : "no memory in time");
+    this->log_not_reserved(
+        this->scope->exchange->disconnected()           ? "caller gone"
+        : this->scope->may_not_start(boot_now())        ? "stopping"
+        : this->scope->part_block_in_force() != nullptr ? "blocked parts"
+        : this->scope->time_all_busy(boot_now())        ? "all servers rest"
+        : !this->has_server_of_version()                ? "no server of its version"
+        : !this->scope->has_server_in_region(true)      ? "no server in its region"
+                                                        : "no memory in time");
     co_return nullptr;
 }
 
@@ -245,6 +230,7 @@
 std::shared_ptr<const backend_server> place_finder::choose(time_point now,
                                                            std::string_view excluded)
 {
+    this->is_place_paced = false;
     auto server = this->version || this->engines->spare_versions.empty()
                       ? nullptr
                       : this->choose(now, excluded, true);
@@ -259,19 +245,45 @@
         this->state->random(),
         [this, now, excluded, needs_spare](const backend_server& server)
         {
-            const bool is_of_version =
-                this->version
-                    ? server.version_key == *this->version
-                    : !needs_spare ||
-                          this->engines->spare_versions.contains(server.version_key);
+            const bool is_of_version = this->version
+                                           ? server.version_key == *this->version
+                                           : !needs_spare || this->has_spare(server);
             return is_of_version && server.id != excluded &&
+                   this->scope->region.allows(server) &&
                    this->state->health.allowed(server.id, now) &&
-                   this->state->limit_wait(server.id, now) <= duration::zero() &&
                    this->state->health.return_delay_left(server.id, now) <=
-                       duration::zero();
+                       duration::zero() &&
+                   this->may_send_to(server, now);
         });
 }
 
+/// Tells whether the server's limit, cold bound and pace admit the calls of one place.
+bool place_finder::may_send_to(const backend_server& server, time_point now)
+{
+    const bool is_paced =
+        this->state->is_paced(server.id, now) && !this->state->is_limited(server.id);
+    const bool may_send =
+        this->state->limit_wait(server.id, now,
+                                is_paced && this->takes_reservations() ? 2 : 1) <=
+        duration::zero();
+    this->is_place_paced |= is_paced && !may_send;
+    return may_send;
+}
+
+bool place_finder::takes_reservations() const
+{
+    return this->properties.max_reservation_time > milliseconds(0);
+}
+
+void place_finder::record_pace_wait(std::string_view server)
+{
+    if (this->pace_wait_since)
+    {
+        this->scope->record_pace_wait(server, *this->pace_wait_since);
+        this->pace_wait_since.reset();
+    }
+}
+
 bool place_finder::has_server_of_version() const
 {
     if (!this->version)
@@ -280,8 +292,31 @@
     }
     const auto servers = this->engines->placement.decode_servers();
     return std::any_of(servers.begin(), servers.end(),
-                       [this](const auto& server)
-                       { return server->version_key == *this->version; });
+                       [this](const auto& server) {
+                           return server->version_key == *this->version &&
+                                  this->scope->region.allows(*server);
+                       });
+}
+
+/// Tells whether a second server of a server's version could go on with the stream.
+bool place_finder::has_spare(const backend_server& server) const
+{
+    if (!this->engines->spare_versions.contains(server.version_key))
+    {
+        return false;
+    }
+    if (!this->scope->region.is_restricted())
+    {
+        return true;
+    }
+    const auto servers = this->engines->placement.decode_servers();
+    return std::any_of(servers.begin(), servers.end(),
+                       [this, &server](const auto& other)
+                       {
+                           return other->id != server.id &&
+                                  other->version_key == server.version_key &&
+                                  this->scope->region.allows(*other);
+                       });
 }
 
 /// Returns the memory for the prompt and the first events, in tokens. No more is
@@ -303,9 +338,10 @@
         // Of the requests that the server takes, none is spent on a reservation.
         co_return this->begin_send(place);
     }
-    if (this->properties.max_reservation_time <= milliseconds(0))
+    if (!this->takes_reservations())
     {
-        co_return true;
+        co_return !this->state->is_paced(place.chosen_server().id, boot_now()) ||
+            this->begin_send(place);
     }
     const auto lifetime = std::min<milliseconds>(this->properties.max_reservation_time,
                                                  max_reservation_lifetime);
@@ -313,11 +349,12 @@
         co_await call_engine(*this->state, place.chosen_server(),
                              this->state->dialect->write_reservation_request(
                                  place.chosen_server(), this->initial_tokens(), lifetime),
-                             nullptr, "", boot_now() + reserve_timeout, nullptr);
+                             nullptr, "", boot_now() + reserve_timeout, nullptr, true);
     if (answer.withheld)
     {
         co_return false;
     }
+    place.has_send = answer.has_next_send;
     const bool no_reply = answer.end != io_outcome::good;
     if (no_reply)
     {
@@ -327,6 +364,7 @@
     if (no_reply || answer.head.status != status_ok)
     {
         this->state->counters.add("agateseam_reservations_total{outcome=\"refused\"}");
+        this->refund_send(place);
         co_return false;
     }
     auto reservation = this->state->dialect->read_reservation_reply(answer.body);
@@ -334,6 +372,7 @@
     {
         log_error("invalid reservation reply ignored", reservation.error(),
                   {{"request", this->scope->metadata.id}});
+        this->refund_send(place);
         co_return false;
     }
     this->state->counters.add("agateseam_reservations_total{outcome=\"held\"}");
@@ -343,17 +382,26 @@
 
 bool place_finder::begin_send(decode_place& place)
 {
-    place.has_send = place.has_send ? this->state->accepts_work(place.chosen_server())
-                                    : this->state->try_begin_send(place.chosen_server());
+    if (place.has_send)
+    {
+        // A request that stays unused is refunded by the place's release.
+        return this->state->accepts_work(place.chosen_server());
+    }
+    place.has_send = this->state->try_begin_send(place.chosen_server());
     return place.has_send;
 }
 
-void place_finder::release(decode_place& place)
+void place_finder::refund_send(decode_place& place)
 {
     if (std::exchange(place.has_send, false))
     {
         this->state->limiter.refund(place.chosen_server().id, boot_now());
     }
+}
+
+void place_finder::release(decode_place& place)
+{
+    this->refund_send(place);
     if (!place.reservation.empty())
     {
         release_at_engine(*this->state, place.chosen_server(),
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -61,6 +61,7 @@
         {
             const std::string& id = candidate.id;
             return (!version || candidate.version_key == *version) &&
+                   this->scope->region.allows(candidate) &&
                    std::find(tried.begin(), tried.end(), id) == tried.end() &&
                    this->state->health.allowed(id, now) &&
                    this->state->limit_wait(id, now) <= duration::zero() &&
@@ -104,7 +105,7 @@
     {
         --this->call_count;
         log_failure(*this->scope, "prefill withheld", candidate->id,
-                    this->state->refusal_reason(*candidate));
+                    this->scope->withheld_reason(*candidate));
         co_return "";
     }
     if (reply.end != io_outcome::good)
