begin_domain_return takes the key of a failure domain

Cause: evacuation changes name a domain by its key, as other entries' digests do, and a request that lost its place to an evacuation may wait anew. Change: begin_domain_return takes a name_key; max_wait_end takes the beginning of the wait.

--- a/src/gateway/entry_counters.hpp
+++ b/src/gateway/entry_counters.hpp
@@ -35,7 +35,7 @@
     /// \param name the metric with its labels, such as
     /// `agateseam_requests_total{outcome="ok"}`.
     void add(std::string_view name, double amount = 1);
-    /// \brief Sets a value that may also fall.
+    /// \brief Sets the value of a gauge.
     void set(std::string_view name, double value);
     void observe(std::string_view name, duration elapsed);
 
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -111,7 +111,7 @@
     [[nodiscard]] bool try_take_sends(const std::string& id, double requests = 1);
 
     /// \brief Notes that a failure domain was taken back into service.
-    void begin_domain_return(std::string_view domain, time_point now)
+    void begin_domain_return(name_key domain, time_point now)
     {
         this->returning.begin_domain_return(domain, now);
     }
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -56,7 +56,7 @@
 {
     const time_point arrived = this->scope->exchange->request().arrived;
     const duration target_latency = this->scope->route->target_latency;
-    const time_point wait_until = this->scope->max_wait_end();
+    const time_point wait_until = this->scope->max_wait_end(arrived);
     const waiting_request waiting{this->scope->priority(), arrived,
                                   arrived + target_latency -
                                       this->engines->latency.expected_first_event_time()};
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -109,10 +109,11 @@
     /// then uses none: nothing more may be sent to these.
     task<std::shared_ptr<const backend_server>> find_server()
     {
-        const time_point wait_until = this->scope->exchange->request().arrived +
-                                      this->fraction_of_target(max_wait_target_fraction);
+        const time_point arrived = this->scope->exchange->request().arrived;
+        const time_point wait_until =
+            arrived + this->fraction_of_target(max_wait_target_fraction);
         const time_point pace_wait_until =
-            std::max(wait_until, this->scope->max_wait_end());
+            std::max(wait_until, this->scope->max_wait_end(arrived));
         std::optional<time_point> pace_wait_since;
         for (;;)
         {
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -39,16 +39,15 @@
            this->metadata.declares_tokens && this->route->rule == repeat_rule::stream;
 }
 
-time_point request_scope::max_wait_end() const
+time_point request_scope::max_wait_end(time_point since) const
 {
     if (this->possible_runs > 0)
     {
         // Its caller has a part of the answer and can't begin anew elsewhere.
         return this->deadline;
     }
-    const time_point arrived = this->exchange->request().arrived;
-    return arrived +
-           std::min<duration>((this->deadline - arrived) / max_wait_divisor,
+    return since +
+           std::min<duration>((this->deadline - since) / max_wait_divisor,
                               this->route->target_latency * max_wait_target_factor);
 }
 
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -53,7 +53,8 @@
     }
 
     /// \brief Returns until when the request may wait for a server.
-    [[nodiscard]] time_point max_wait_end() const;
+    /// \param since when it began to wait, mostly when it arrived.
+    [[nodiscard]] time_point max_wait_end(time_point since) const;
 
     /// \brief Records that the request waited for the pace of a returning or cold server.
     /// \param waited_for the server's id; empty if it may have been any of several.
--- a/src/gateway/returning_servers.cpp
+++ b/src/gateway/returning_servers.cpp
@@ -111,11 +111,11 @@
     }
 }
 
-void returning_servers::begin_domain_return(std::string_view domain, time_point now)
+void returning_servers::begin_domain_return(name_key domain, time_point now)
 {
     for (backend_server& server : this->state->directory.all())
     {
-        if (server.failure_domain != domain)
+        if (!(name_key(server.failure_domain) == domain))
         {
             continue;
         }
--- a/src/gateway/returning_servers.hpp
+++ b/src/gateway/returning_servers.hpp
@@ -46,7 +46,7 @@
 
     /// \brief Notes that a failure domain was taken back into service. Its servers may
     /// have become cold shortly before.
-    void begin_domain_return(std::string_view domain, time_point now);
+    void begin_domain_return(name_key domain, time_point now);
 
     /// \brief Ends an attempt in the health of its server, and counts its outcome for the
     /// server's pace.
