--- a/src/gateway/evacuation_changes.cpp
+++ b/src/gateway/evacuation_changes.cpp
@@ -82,7 +82,7 @@
         if (!change.evacuated)
         {
             // Bounds the servers before requests can choose them.
-            state.begin_domain_return(name_of(state, servers, change), boot_now());
+            state.begin_domain_return(change.domain, boot_now());
         }
     }
     state.publish_servers();
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -55,7 +55,7 @@
 {
     if (this->state->is_evacuated(server))
     {
-        this->scope->place_lost_at = boot_now();
+        this->place_lost_at = boot_now();
     }
 }
 
@@ -64,7 +64,8 @@
 {
     const time_point arrived = this->scope->exchange->request().arrived;
     const duration target_latency = this->scope->route->target_latency;
-    time_point wait_until = this->scope->max_wait_end();
+    time_point wait_until =
+        this->scope->max_wait_end(std::max(arrived, this->place_lost_at));
     const waiting_request waiting{this->scope->priority(), arrived,
                                   arrived + target_latency -
                                       this->engines->latency.expected_first_event_time()};
@@ -137,7 +138,7 @@
         }
         place.reset();
         this->record_lost_place(*server);
-        wait_until = this->scope->max_wait_end();
+        wait_until = this->scope->max_wait_end(std::max(arrived, this->place_lost_at));
         ++this->reservations_refused;
         this->engines->placement.record_refusal(server->id, boot_now());
         if (!is_bound)
--- a/src/gateway/place_finder.hpp
+++ b/src/gateway/place_finder.hpp
@@ -84,6 +84,7 @@
     stream_memory expected_memory;
     std::optional<name_key> version; ///< The only one that may be used.
     time_point reserved_at{};
+    time_point place_lost_at{}; ///< When the latest place was lost to an evacuation.
     bool is_queued = false;
     bool is_place_paced = false; ///< A server was left out for its pace alone.
     std::optional<time_point> pace_wait_since;
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -24,7 +24,6 @@
     double charged_tokens = 0;       ///< Taken from the allowance.
     time_point deadline{};           ///< The answer must be complete by then.
     request_parts parts;             ///< What may crash a server.
-    time_point place_lost_at{};      ///< When a place was last lost to an evacuation.
     std::uint32_t possible_runs = 0; ///< Attempts that a server may have run.
     bool is_trial = false;           ///< May be sent once although it is blocked.
 
@@ -54,7 +53,8 @@
     }
 
     /// \brief Returns until when the request may wait for a server.
-    [[nodiscard]] time_point max_wait_end() const;
+    /// \param since when it began to wait, mostly when it arrived.
+    [[nodiscard]] time_point max_wait_end(time_point since) const;
 
     /// \brief Records that the request waited for the pace of a returning or cold server.
     /// \param waited_for the server's id; empty if it may have been any of several.
