Stand-in: evacuations, cold servers, latency and refused shares

Cause: tests of evacuated domains and returning servers need a platform that has them. Change: Site.evacuate and take_back write and remove objects of kind evacuations. A replica may become cold at any moment: its listing and its answers count down, and it crashes at over twice its cold_per_s in one second. Its latency and a share of refused requests can be set. Each request records when it arrived, whether the replica was cold and whether it was answered 421. StoreAddress is a second address of the store that can reject its calls; the store can refuse calls for some kinds.

--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -20,6 +21,10 @@
 HOST = "site.example"
 KEY = "key-of-oshana-0001"
 EVENT = "id: %d\ndata: %s\n\n"
+HEARTBEAT_S = 0.25  # of a cold replica
+# A cold replica crashes when it gets its requests a second this many times over in one second.
+COLD_CRASH_FACTOR = 2
+COLD_CRASH_DOWN_S = 1.0
 
 
 class Request:
@@ -27,6 +32,9 @@
 
     def __init__(self, method, target, headers, body):
         self.method, self.target, self.headers, self.body = method, target, headers, body
+        self.arrived = None
+        self.is_misdirected = False  # Answered with 421.
+        self.found_cold = False  # The replica was cold when the request arrived.
 
     def header(self, name, fallback=""):
         return self.headers.get(name.lower(), fallback)
@@ -66,6 +74,16 @@
     writer.transport.abort()
 
 
+def busiest_second(times):
+    """Returns the most events within one second."""
+    times, first, most = sorted(times), 0, 0
+    for last, moment in enumerate(times):
+        while moment - times[first] >= 1:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
 class Server:
     """Accepts connections and passes each request to `handle_request`."""
 
@@ -116,6 +134,7 @@
         self.journal = []  # (time, revision, kind, name, object or None) of each change
         # A function of a request that returns for how long its response is held back.
         self.response_delay = None
+        self.refused_kinds = set()  # Calls for objects of these kinds are answered with 503.
         self.open_calls = {}  # the latest request of each open connection by its writer
 
     def put(self, kind, name, spec):
@@ -218,6 +237,8 @@
         parameters = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
         parts = path.removeprefix("/v1/objects/").split("/")
         kind, name = parts[0], parts[1] if len(parts) > 1 else None
+        if kind in self.refused_kinds:
+            return 503, {}
         if request.method == "GET" and "watch" in parameters:
             return await self.watch(kind, int(parameters["watch"]),
                                     int(parameters.get("wait_ms", 0)))
@@ -258,6 +279,26 @@
                 pass
 
 
+class StoreAddress(Server):
+    """Another address of a store, which may reject the calls that come by it."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.store, self.rejects = store, False
+
+    def reject(self):
+        """Rejects all further calls, and ends those in progress."""
+        self.rejects = True
+        for writer in list(self.open_connections):
+            reset_connection(writer)
+
+    async def handle_request(self, request, reader, writer):
+        if not self.rejects:
+            return await self.store.handle_request(request, reader, writer)
+        writer.write(response_bytes(503, {}, [("Store-Era", self.store.era)]))
+        return True
+
+
 class Replica(Server):
     """A replica; a test may set `handler` to answer requests in another way.
 
@@ -265,7 +306,8 @@
     With `says_leaving`, all its answers say that it leaves, while its entry in the store stays
     as it is. With `rest_s`, the next request of any kind is refused with that `Retry-After`, and
     so are all others until that time is over; `arrivals_in_rest` holds when they came, in
-    seconds since the first refusal, and their targets.
+    seconds since the first refusal, and their targets. A replica that is cold and has
+    `cold_per_s` crashes at well above that rate.
     """
 
     id_numbers = itertools.count(1)
@@ -290,6 +332,14 @@
         self.version = "v1"  # Of its software.
         self.shows_version = False  # In the events of its streams.
         self.silent_from = None  # The event at which streams that begin here fall silent.
+        self.latency_s = 0.0  # Until a plain answer, a prefill or the head of a stream.
+        self.refused_share = 0.0  # Of the requests that are not misdirected.
+        self.random = random.Random(self.id)
+        self.site = None  # Whose store gets its heartbeats.
+        self.cold_until = 0.0
+        self.cold_per_s, self.cold_start_s = 0.0, 0.0
+        self.lists_cold, self.answers_cold = True, True
+        self.tasks = set()
 
     async def crash(self, site, down_s):
         """Resets all connections, refuses new ones for a time, and starts again by a new id at
@@ -303,8 +353,57 @@
         self.id = f"i-{next(Replica.id_numbers):04d}"
         self.holds, self.handles, self.running = {}, {}, {}
         await self.start()
+        if self.cold_start_s:
+            self.become_cold(self.cold_start_s)
         site.store.put("servers", self.id, self.server_spec())
 
+    def cold_remaining_ms(self):
+        return max(0, round((self.cold_until - time.monotonic()) * 1000))
+
+    def run_task(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def become_cold(self, seconds):
+        """Is cold from now on; its listing counts down with its heartbeats."""
+        self.cold_until = time.monotonic() + seconds
+        if self.lists_cold and self.site:
+            self.run_task(self.count_down(self.id, self.cold_until))
+
+    async def count_down(self, incarnation, until):
+        while self.id == incarnation and self.cold_until == until:
+            store = self.site.store
+            stored = store.objects_by_kind.get("servers", {}).get(incarnation)
+            remaining_ms = self.cold_remaining_ms()
+            if stored:
+                store.put("servers", incarnation,
+                          dict(stored["spec"], cold_remaining_ms=remaining_ms))
+            if not remaining_ms:
+                return
+            await asyncio.sleep(min(HEARTBEAT_S, remaining_ms / 1000))
+
+    def crashes_of_cold(self, request):
+        """Tells whether the requests of the last second crash the cold replica."""
+        if not self.cold_per_s or not request.found_cold:
+            return False
+        recent = 0
+        for other in reversed(self.requests):
+            if other.arrived <= request.arrived - 1:
+                break
+            recent += other.found_cold and not other.is_misdirected
+        return recent > COLD_CRASH_FACTOR * self.cold_per_s
+
+    def counted_requests(self, begin=0.0, end=float("inf"), cold_only=False):
+        """Returns the requests that count against its rate."""
+        return [request for request in self.requests
+                if begin <= request.arrived <= end and not request.is_misdirected
+                and (request.found_cold or not cold_only)]
+
+    def busiest_second(self, begin=0.0, end=float("inf"), cold_only=False):
+        return busiest_second(request.arrived
+                              for request in self.counted_requests(begin, end, cold_only))
+
     def requests_after_leaving(self, slack_s=0.0):
         """Returns the requests received more than `slack_s` after the first answer that says that
         the replica leaves, without those that only free what it holds."""
@@ -316,6 +415,8 @@
     def notices(self):
         """Returns the header fields in which the replica tells of itself."""
         limit = [] if self.limit_per_s is None else [("Server-Limit", f"{self.limit_per_s}")]
+        if self.answers_cold and self.cold_remaining_ms():
+            limit.append(("Agateseam-Cold-Remaining", f"{self.cold_remaining_ms()}"))
         if not self.says_leaving:
             return limit
         self.left_at = self.left_at or time.monotonic()
@@ -340,8 +441,8 @@
 
     def server_spec(self, state="ready"):
         spec = {"service": self.service, "address": self.address, "zone": self.zone,
-                "version": self.version, "slots": 8, "state": state, "cold_remaining_ms": 0,
-                "sequence": 1}
+                "version": self.version, "slots": 8, "state": state, "sequence": 1,
+                "cold_remaining_ms": self.cold_remaining_ms() if self.lists_cold else 0}
         if self.stage:
             spec["stage"] = self.stage
         if self.born is not None:
@@ -359,7 +460,12 @@
 
     async def handle_request(self, request, reader, writer):
         request.arrived = time.monotonic()
+        request.found_cold = request.arrived < self.cold_until
         self.requests.append(request)
+        if self.crashes_of_cold(request):
+            if self.listener.is_serving():
+                self.run_task(self.crash(self.site, COLD_CRASH_DOWN_S))
+            return False
         rest_answer = self.rest_answer(request)
         if rest_answer:
             writer.write(rest_answer)
@@ -370,15 +476,20 @@
                 return keep_open
         expected = request.header("Agateseam-Expect-Instance")
         if expected and expected != self.id:
+            request.is_misdirected = True
             writer.write(response_bytes(421, {}, [("Agateseam-Instance-Id", self.id)]
                                         + self.id_headers(request)))
             return True
+        if self.random.random() < self.refused_share:
+            writer.write(self.refusal(request))
+            return True
         if request.target.startswith("/v1/"):
             writer.write(self.handle_platform_call(request))
             return True
         if self.stage is None:
             return await self.answer_plain(request, writer)
         if request.header("Agateseam-Stage") == "prefill":
+            await self.work()
             handle = f"{self.id}h{next(self.name_numbers)}"
             self.handles[handle] = request.id
             writer.write(response_bytes(200, {"kv_handle": handle, "tokens": 1, "version": 1},
@@ -405,8 +516,13 @@
         return response_bytes(503, {}, [("Agateseam-Not-Executed", "1"), *self.notices()]
                               + self.id_headers(request))
 
+    async def work(self):
+        if self.latency_s:
+            await asyncio.sleep(self.latency_s)
+
     async def answer_plain(self, request, writer):
         self.runs.append(request.id)
+        await self.work()
         writer.write(response_bytes(200, f"body of {request.id}".encode(),
                                     self.identity_headers(request)))
         await writer.drain()
@@ -418,6 +534,7 @@
         self.running[request.id] = hold
         finished = False
         try:
+            await self.work()
             head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
                     "Transfer-Encoding: chunked"]
             head += [f"{name}: {value}" for name, value in self.identity_headers(request)]
@@ -476,7 +593,7 @@
 class Entry:
     """An entry process and its settings, ports and log."""
 
-    def __init__(self, site, number):
+    def __init__(self, site, number, **settings):
         self.name = f"front-{number}"
         self.site = site
         ports = [free_port() for _ in range(4)]
@@ -488,7 +605,7 @@
                                 "metrics": f"127.0.0.1:{self.metrics}",
                                 "peers": f"127.0.0.1:{self.peers}", "seeds": [],
                                 "store": site.store.address, "grace_ms": site.grace_ms,
-                                "fleet": site.fleet, **site.extra_settings}
+                                "fleet": site.fleet, **site.extra_settings, **settings}
         with open(self.settings_path, "w", encoding="utf-8") as file:
             json.dump(self.settings_values, file)
         self.log_path = os.path.join(site.directory, self.name + ".log")
@@ -610,6 +727,7 @@
         async def make():
             replica = Replica(*arguments, **options)
             await replica.start()
+            replica.site = self
             return replica
         replica = self.run_coroutine(make())
         self.replicas.append(replica)
@@ -620,6 +738,40 @@
     def publish_replica(self, replica, state="ready"):
         self.run_on_loop(self.store.put, "servers", replica.id, replica.server_spec(state))
 
+    def add_store_address(self):
+        async def make():
+            address = StoreAddress(self.store)
+            await address.start()
+            return address
+        return self.run_coroutine(make())
+
+    def evacuate(self, domain, content=None):
+        """Returns the time of the store's answer."""
+        self.run_on_loop(self.store.put, "evacuations", domain, {} if content is None else content)
+        return time.monotonic()
+
+    def take_back(self, domain, cold_s=0.0):
+        """Ends an evacuation; the domain's servers have just become cold if `cold_s` is given.
+        Returns the time at which it began to end."""
+        began = time.monotonic()
+
+        def change():
+            for replica in self.replicas_in(domain):
+                if cold_s:
+                    replica.become_cold(cold_s)
+            self.store.remove("evacuations", domain)
+        self.run_on_loop(change)
+        return began
+
+    def replicas_in(self, domain):
+        return [replica for replica in self.replicas if replica.zone == domain]
+
+    def requests_in(self, domain, begin, end=float("inf")):
+        """Returns what reached the domain's servers in a time, as (time, replica, request)."""
+        return sorted(((request.arrived, replica, request) for replica in self.replicas_in(domain)
+                       for request in replica.requests if begin <= request.arrived <= end),
+                      key=lambda arrival: arrival[0])
+
     def configure(self, version, **overrides):
         self.run_on_loop(self.store.put, "config", "main", configuration(version, **overrides))
 
