Evacuation test: only servers near the entries always get requests

Cause: test_an_unknown_domain waited for requests at each server, but the entries prefer prefill servers in their own domain, so those elsewhere get none. Change: it waits for requests at the servers of the entries' domain.

--- a/tests/site/evacuation_test.py
+++ b/tests/site/evacuation_test.py
@@ -222,7 +222,7 @@
             wait_for(lambda entry=entry: any(
                 line["domain"] == "zone-nowhere" and line["level"] == "error"
                 for line in entry.log_lines("unknown failure domain evacuated")), "the error")
-        for replica in site.replicas:
+        for replica in site.replicas_in(DOMAIN):
             wait_for(lambda replica=replica: replica.counted_requests(evacuated), "requests")
         late_server = site.add_replica("plain", zone="zone-nowhere")
         time.sleep(1)
