--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -339,6 +339,7 @@
         self.cold_until = 0.0
         self.cold_per_s, self.cold_start_s = 0.0, 0.0
         self.lists_cold, self.answers_cold = True, True
+        self.cold_crashes = 0  # Of those in `crash_times`.
         self.tasks = set()
 
     async def crash(self, site, down_s):
@@ -464,6 +465,7 @@
         self.requests.append(request)
         if self.crashes_of_cold(request):
             if self.listener.is_serving():
+                self.cold_crashes += 1
                 self.run_task(self.crash(self.site, COLD_CRASH_DOWN_S))
             return False
         rest_answer = self.rest_answer(request)
