Soak: evacuations and servers that return cold

It checks that nothing reaches an evacuated domain later than 5 s after the store's answer, 11 s where the store was unstable, except from frozen entries, and that no cold server gets more than cold_per_s x 1.5 + 5 requests in a second or crashes. Runs without the option play as before.

--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -2,9 +2,10 @@
 callers and servers saw.
 
     python3 tests/site/soak.py BUILD [--seed N] [--seeds N] [--seconds S] [--entries N]
-        [--callers N] [--planned]
+        [--callers N] [--planned] [--domains]
 
-With --planned only stops, settings and configurations change; otherwise anything breaks.
+With --planned only stops, settings and configurations change; otherwise anything breaks. With
+--domains failure domains are evacuated as well, and servers become cold.
 """
 
 import argparse
@@ -37,6 +38,11 @@
 CALLER_DEADLINE_S = 14
 STREAM_EVENTS = 8
 MEMORY_MB = 88
+EVACUATED_S = 5  # after which nothing reaches an evacuated domain
+UNSTABLE_STORE_S = 6  # longer when the store was unstable
+COLD_S = 2.5
+COLD_PER_S = 12
+COLD_BOUND = COLD_PER_S * 1.5 + 5
 PROMISES = (408, 421, 429, 503)
 KINDS = [("/safe/a", None), ("/once/a", None), ("/draft/a", "500,40"), ("/resume/a", "500,40")]
 
@@ -44,15 +50,20 @@
 class Soak:
     """One run: a site, its callers and its troubles."""
 
-    def __init__(self, build, directory, seed, seconds=20, entries=3, callers=16, planned=False):
+    def __init__(self, build, directory, seed, seconds=20, entries=3, callers=16, planned=False,
+                 domains=False):
         self.random = random.Random(seed)
-        self.seconds, self.planned = seconds, planned
+        self.seconds, self.planned, self.domains = seconds, planned, domains
+        settings = {"memory_mb": MEMORY_MB}
+        if domains:
+            settings.update(evacuation_ms=EVACUATED_S * 1000, pace_servers=True,
+                            regions={"zone-a": "north", "zone-b": "north"})
         self.site = Site(build, directory, entries=entries, grace_ms=GRACE_S * 1000,
-                         settings={"memory_mb": MEMORY_MB})
-        for _ in range(3):
-            self.site.add_replica("plain")
-        for stage in ("prefill", "prefill", "decode", "decode", "decode"):
-            self.site.add_replica("model", stage=stage)
+                         settings=settings)
+        for number in range(3):
+            self.site.add_replica("plain", zone=self.zone_of(number))
+        for number, stage in enumerate(("prefill", "prefill", "decode", "decode", "decode")):
+            self.site.add_replica("model", stage=stage, zone=self.zone_of(number))
         for replica in self.site.replicas_of("model", "decode"):
             replica.event_count, replica.event_delay_s = STREAM_EVENTS, 0.05
             replica.shows_version = True
@@ -60,7 +71,13 @@
         self.routes = configuration(1)["routes"]
         for item in self.routes:
             item["timeout_ms"] = 14_000 if item["route_type"] == "streaming" else 3000
-        self.site.configure(1, routes=self.routes)
+        self.services = configuration(1)["services"]
+        if domains:
+            self.services = [dict(item, cold_start_s=COLD_S, cold_per_s=COLD_PER_S)
+                             for item in self.services]
+            for replica in self.site.replicas:
+                replica.cold_per_s, replica.cold_start_s = COLD_PER_S, COLD_S
+        self.site.configure(1, routes=self.routes, services=self.services)
         self.site.start()
         self.callers = Callers(self.site, callers, KINDS, seed=seed)
         self.stops = []  # (entry, time of SIGTERM, time at which it was gone)
@@ -71,9 +88,14 @@
         self.crashing_paths = {}  # Times of the crashes under each repeated request.
         self.limits = []  # (replica, requests a second, begin, end)
         self.leaving = {}  # Time at which the store listed a server as leaving, by its id.
+        self.store_losses = []  # (begin, end)
+        self.evacuations = []  # (domain, time of the store's answer, end)
         self.faults = []
         self.log = []
 
+    def zone_of(self, number):
+        return "zone-b" if self.domains and number % 2 else "zone-a"
+
     def note(self, text):
         self.log.append(f"{time.monotonic() - self.began:7.2f} {text}")
 
@@ -125,7 +147,8 @@
         self.version += 1
         extra = [route(f"/new{self.version}/", "safe", "plain")]
         self.site.store.put("config", "main",
-                            configuration(self.version, routes=self.routes + extra))
+                            configuration(self.version, routes=self.routes + extra,
+                                          services=self.services))
 
     async def reload_settings(self):
         for entry in self.site.entries:
@@ -185,8 +208,11 @@
         mode = self.random.choice(["silent", "busy", "reset"])
         self.note(f"store {mode}")
         store = self.site.store
+        span = [time.monotonic(), float("inf")]
+        self.store_losses.append(span)
         await self.trouble(self.random.uniform(0.5, 4), lambda: setattr(store, "mode", mode),
                            lambda: setattr(store, "mode", "up"))
+        span[1] = time.monotonic()
 
     async def compact_store(self):
         self.site.store.compact()
@@ -345,6 +371,39 @@
                            lambda: setattr(replica, "handler", endless(kind)),
                            lambda: setattr(replica, "handler", None))
 
+    async def evacuation(self, cold_s=0):
+        """Operators evacuate a domain, one at a time, and take it back into service."""
+        if self.evacuations and self.evacuations[-1][2] > time.monotonic():
+            return
+        domain = self.random.choice(["zone-a", "zone-b"])
+        span = [domain, float("inf"), float("inf")]
+        self.evacuations.append(span)
+        await self.wait_for_store()
+        self.note(f"evacuate {domain}")
+        self.site.store.put("evacuations", domain, {})
+        span[1] = time.monotonic()
+        await asyncio.sleep(EVACUATED_S + self.random.uniform(1, 8))
+        await self.wait_for_store()
+        span[2] = time.monotonic()
+        self.note(f"take {domain} back, cold for {cold_s} s")
+        for replica in self.site.replicas_in(domain) if cold_s else []:
+            replica.become_cold(cold_s)
+        self.site.store.remove("evacuations", domain)
+
+    async def cold_return(self):
+        """The servers of a domain become cold, mostly as it is taken back into service."""
+        if self.random.random() < 0.7:
+            await self.evacuation(cold_s=COLD_S)
+            return
+        domain = self.random.choice(["zone-a", "zone-b"])
+        self.note(f"servers of {domain} become cold")
+        for replica in self.site.replicas_in(domain):
+            replica.become_cold(COLD_S)
+
+    async def wait_for_store(self):
+        while self.site.store.mode != "up":
+            await asyncio.sleep(0.02)
+
     async def cause_troubles(self):
         planned = [self.stop_entry, self.stop_entry, self.stop_two, self.change_configuration,
                    self.reload_settings, self.leave, self.slow_servers]
@@ -354,6 +413,8 @@
                      self.update_version, self.limit_server, self.send_without_end,
                      self.reset_connections, self.answer_twice]
         kinds = planned if self.planned else planned + unplanned
+        if self.domains:
+            kinds = kinds + [self.evacuation, self.cold_return, self.cold_return]
         running = []
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
@@ -440,6 +501,30 @@
                     self.faults.append(f"LIMIT {seen} requests at {replica.id}, limit {limit}")
                     break
 
+    def check_evacuations(self, entry_of):
+        frozen = [(number, begin, end) for number, entry in enumerate(self.site.entries)
+                  for name, begin, end in self.freezes if name == entry.name]
+        for domain, begin, end in self.evacuations:
+            is_unstable = any(lost < begin + EVACUATED_S and back > begin - UNSTABLE_STORE_S
+                              for lost, back in self.store_losses)
+            bound_s = EVACUATED_S + (UNSTABLE_STORE_S if is_unstable else 0)
+            late = [request for _, _, request in self.site.requests_in(domain, begin + bound_s, end)
+                    if not any(number == entry_of.get(request.id, number)
+                               and start < request.arrived < gone + STABLE_WINDOW_S
+                               for number, start, gone in frozen)]
+            if late:
+                self.faults.append(
+                    f"EVACUATED {len(late)} requests reached {domain}, evacuated at "
+                    f"{begin - self.began:.2f}, first {late[0].target} at "
+                    f"{late[0].arrived - self.began:.2f}")
+
+    def check_cold(self):
+        for replica in self.site.replicas if self.domains else []:
+            seen = replica.busiest_second(cold_only=True)
+            if seen > COLD_BOUND or replica.cold_crashes:
+                self.faults.append(f"COLD {seen} requests in a second at {replica.id} "
+                                   f"{replica.stage}, {replica.cold_crashes} crashes")
+
     def check_memory(self):
         for entry in self.site.entries:
             if entry.process.poll() is None and peak_memory_mb(entry) > MEMORY_MB:
@@ -491,6 +576,8 @@
             self.check_crashes(self.crashing_paths, repeat_test.CRASHES_BEFORE_BLOCK,
                                lambda request, path: request.target == path, entry_of)
             self.check_limits(entry_of)
+            self.check_evacuations(entry_of)
+            self.check_cold()
             self.check_memory()
             return len(outcomes)
         finally:
@@ -506,12 +593,13 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--callers", type=int, default=16)
     parser.add_argument("--planned", action="store_true")
+    parser.add_argument("--domains", action="store_true")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         directory = os.path.join(options.build, "site_tests", f"soak-{seed}")
         soak = Soak(options.build, directory, seed, options.seconds, options.entries,
-                    options.callers, options.planned)
+                    options.callers, options.planned, options.domains)
         requests = soak.play()
         print(f"seed {seed}: {requests} requests, {len(soak.stops)} stops, "
               f"{len(soak.faults)} faults", flush=True)
--- a/tests/site/soak_test.py
+++ b/tests/site/soak_test.py
@@ -11,8 +11,8 @@
 SECONDS = 10
 
 
-def play(build, directory, seed, planned):
-    soak = Soak(build, directory, seed, seconds=SECONDS, planned=planned)
+def play(build, directory, seed, planned, domains=False):
+    soak = Soak(build, directory, seed, seconds=SECONDS, planned=planned, domains=domains)
     requests = soak.play()
     check(not soak.faults, f"seed {seed}", *soak.log, *soak.faults)
     check(requests > 100, requests)
@@ -26,5 +26,9 @@
     play(build, directory, seed=104, planned=False)
 
 
+def test_evacuations_and_cold_servers_among_troubles_break_no_rule(build, directory):
+    play(build, directory, seed=301, planned=False, domains=True)
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
