Keep cold bounds for each second when bursts come and fleets are cut

Cut halves spend the whole rate each until the time-out of peers, 700 ms. Named limits are counted as before. Ruled out: crediting the unused part of silent peers when they are heard again.

--- a/include/agateseam/server_limiter.hpp
+++ b/include/agateseam/server_limiter.hpp
@@ -22,6 +22,12 @@
 /// the entries, by hash, and an entry that is later in it takes the token only when it
 /// has stayed unused for as long as the ones before it need to be heard.
 ///
+/// A cold server and one that returns have a bound for each single second, and callers
+/// come to it in bursts. There a few entries share a turn, and turns count from when an
+/// entry begins to ask, since a full bucket would admit all of them at once. An entry
+/// that has sent of late waits only for those that have too. Entries that fall silent are
+/// taken for cut off after one interval of digests, not after the time-out of peers.
+///
 /// In any `window` all entries together send at most rate x window, the bucket's capacity
 /// and what is taken at the same time. A limit holds while the newest answer that any
 /// entry got names one.
@@ -119,6 +125,9 @@
         time_point changed_at{};
         time_point added_at{};
         double peer_spending = 0; ///< Requests that other entries have sent.
+        time_point sent_at{};     ///< By this entry.
+        time_point wanted_at{};   ///< When this entry last asked for a request.
+        time_point waits_since{}; ///< Asks for tokens that the bucket has.
         fleet_bucket bucket;
 
         [[nodiscard]] bool is_paced(time_point now) const noexcept
@@ -130,6 +139,7 @@
     {
         double spent = 0;
         time_point began_at{}; ///< When the peer's copy was empty.
+        time_point rose_at{};  ///< When `spent` last did.
     };
     struct peer_state
     {
@@ -152,7 +162,19 @@
     [[nodiscard]] limited_server& find_or_add(name_key server, time_point now);
     /// Returns how many entries come before this one for the next token.
     [[nodiscard]] std::size_t entries_ahead(name_key server, const limited_server& state,
-                                            const std::set<std::string>& peers) const;
+                                            const std::set<std::string>& peers,
+                                            time_point now) const;
+    /// Tells whether another entry has sent to a server of late.
+    [[nodiscard]] bool is_active(const std::string& entry, name_key server,
+                                 time_point now) const;
+    /// Returns for how long this entry has asked for tokens that the bucket has.
+    [[nodiscard]] static duration time_waited(limited_server& state, bool has_tokens,
+                                              duration turn, time_point now);
+    /// Returns how long until an entry with others before it may send to a paced server;
+    /// not above zero when it may now.
+    [[nodiscard]] static duration time_until_turn(limited_server& state,
+                                                  std::size_t entries, double requests,
+                                                  double fraction, time_point now);
     /// Returns the view without the entries that have just fallen silent.
     [[nodiscard]] fleet_view heard_view(const std::set<std::string>& peers,
                                         fleet_view view, time_point now) const;
--- a/src/core/server_limiter.cpp
+++ b/src/core/server_limiter.cpp
@@ -21,14 +21,43 @@
 constexpr auto copy_start_tolerance = 3s;
 /// Entries learn of a bound this far apart.
 constexpr auto learning_time = 100ms;
+/// More than a digest is delayed.
+constexpr auto relay_margin = 100ms;
 /// A digest that is due arrives within this time.
 constexpr auto max_digest_delay = 60ms;
+/// While no more of the entries are silent, digests were lost; at least one may be.
+constexpr double max_missing_share = 0.1;
+/// This many entries share a turn at a paced server. With one at a time, the last of 100
+/// entries would wait for 4 s; what these take together is below the bound's margin.
+constexpr std::size_t entries_per_turn = 3;
+/// An entry that sent a server nothing for this long doesn't count for its turns.
+constexpr auto active_time = 1s;
+/// An entry that asks for no request for this long loses its place.
+constexpr auto want_time = 2s;
+/// An entry that leaves its turn unused for this long loses its place, so that a burst
+/// doesn't find all entries at the end of their waits.
+constexpr auto place_time = 40ms;
+
+duration silence_limit(std::uint32_t known_entries)
+{
+    return std::max<duration>(fleet_ledger::base_digest_interval,
+                              fleet_ledger::digest_interval_per_entry * known_entries) +
+           max_digest_delay;
+}
+
+/// Rounding may leave the level just below a full bucket.
+constexpr double precision = 1e-6;
 
 double to_seconds(duration span) noexcept
 {
     return std::chrono::duration<double>(span).count();
 }
 
+duration to_duration(double seconds) noexcept
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
 std::uint64_t to_milliseconds(duration span) noexcept
 {
     return static_cast<std::uint64_t>(
@@ -209,7 +238,8 @@
 }
 
 std::size_t server_limiter::entries_ahead(name_key server, const limited_server& state,
-                                          const std::set<std::string>& peers) const
+                                          const std::set<std::string>& peers,
+                                          time_point now) const
 {
     const std::uint64_t token =
         server.hash() ^ static_cast<std::uint64_t>(
@@ -217,18 +247,68 @@
     const auto place = [token](const std::string& entry)
     { return XXH3_64bits_withSeed(entry.data(), entry.size(), token); };
     const std::uint64_t own_place = place(this->name);
-    return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(),
-                                                  [&](const std::string& entry)
-                                                  { return place(entry) < own_place; }));
+    // Entries that all begin to send wait for each other; one that sends already waits
+    // only for those that do so too, or a few of many entries would use little.
+    const bool only_active = state.is_paced(now) && now < state.sent_at + active_time;
+    const auto is_ahead = [&](const std::string& entry)
+    {
+        return place(entry) < own_place &&
+               (!only_active || this->is_active(entry, server, now));
+    };
+    return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), is_ahead));
+}
+
+bool server_limiter::is_active(const std::string& entry, name_key server,
+                               time_point now) const
+{
+    const auto peer = this->peers_heard.find(entry);
+    if (peer == this->peers_heard.end())
+    {
+        return false;
+    }
+    const auto spending = peer->second.servers.find(server);
+    return spending != peer->second.servers.end() &&
+           now < spending->second.rose_at + active_time;
+}
+
+duration server_limiter::time_waited(limited_server& state, bool has_tokens,
+                                     duration turn, time_point now)
+{
+    const bool keeps_place = has_tokens && now < state.wanted_at + want_time &&
+                             now < state.waits_since + turn + place_time;
+    state.wanted_at = now;
+    if (!keeps_place)
+    {
+        state.waits_since = now;
+    }
+    return now - state.waits_since;
+}
+
+duration server_limiter::time_until_turn(limited_server& state, std::size_t entries,
+                                         double requests, double fraction, time_point now)
+{
+    const double rate = state.bucket.limits().refill_per_second * fraction;
+    const double max_level = state.bucket.limits().burst * fraction;
+    const double level = state.bucket.level(now) + precision;
+    const double needed = std::min(requests, max_level);
+    const duration turn = turn_time * (entries / entries_per_turn);
+    if (now < state.sent_at + active_time)
+    {
+        // A full bucket shows no turns that pass.
+        const duration waited = time_waited(state, level >= max_level, turn, now);
+        return to_duration((needed - level) / rate) + turn - waited;
+    }
+    // Entries that begin to send wait for each other whatever the bucket holds, or all
+    // would send at once to a server that got nothing for a moment.
+    const duration waited = time_waited(state, level >= needed, turn, now);
+    return std::max(to_duration((needed - level) / rate), duration::zero()) + turn -
+           waited;
 }
 
 fleet_view server_limiter::heard_view(const std::set<std::string>& peers, fleet_view view,
                                       time_point now) const
 {
-    const duration interval =
-        std::max<duration>(fleet_ledger::base_digest_interval,
-                           fleet_ledger::digest_interval_per_entry * view.known_entries);
-    const time_point since = now - interval - max_digest_delay;
+    const time_point since = now - silence_limit(view.known_entries);
     const auto heard = std::count_if(peers.begin(), peers.end(),
                                      [&](const std::string& entry)
                                      {
@@ -236,6 +316,13 @@
                                          return peer != this->peers_heard.end() &&
                                                 peer->second.heard_at >= since;
                                      });
+    const double missing = static_cast<double>(peers.size()) - static_cast<double>(heard);
+    const double max_missing =
+        std::max(1.0, max_missing_share * static_cast<double>(peers.size()));
+    if (peers.empty() || (heard > 0 && missing <= max_missing))
+    {
+        return view;
+    }
     view.reachable_entries =
         std::min(view.reachable_entries, static_cast<std::uint32_t>(heard) + 1);
     return view;
@@ -250,23 +337,23 @@
     {
         return duration::zero();
     }
-    view = state->is_paced(now) ? this->heard_view(peers, view, now) : view;
+    const std::size_t ahead = this->entries_ahead(server, *state, peers, now);
+    if (state->is_paced(now))
+    {
+        view = this->heard_view(peers, view, now);
+        state->bucket.set_view(view, now);
+        return std::max(
+            duration::zero(),
+            time_until_turn(*state, ahead, requests, view.reachable_fraction(), now));
+    }
     state->bucket.set_view(view, now);
     const bucket_limits& limits = state->bucket.limits();
-    const double turns = static_cast<double>(this->entries_ahead(server, *state, peers));
+    const double rate = limits.refill_per_second * view.reachable_fraction();
     const double needed =
         std::min(limits.burst * view.reachable_fraction(),
-                 requests + turns * limits.refill_per_second * view.reachable_fraction() *
-                                to_seconds(turn_time));
+                 requests + static_cast<double>(ahead) * rate * to_seconds(turn_time));
     const double missing = needed - state->bucket.level(now);
-    // Rounding may leave the level just below a full bucket.
-    constexpr double precision = 1e-6;
-    if (missing <= precision)
-    {
-        return duration::zero();
-    }
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-        missing / (limits.refill_per_second * view.reachable_fraction())));
+    return missing <= precision ? duration::zero() : to_duration(missing / rate);
 }
 
 bool server_limiter::try_take(name_key server, const std::set<std::string>& peers,
@@ -277,13 +364,32 @@
     {
         return true;
     }
+    // Most calls of a busy fleet end here, before the entries are put in order.
+    if (state->bucket.level(now) <= 0)
+    {
+        state->wanted_at = now;
+        state->waits_since = now;
+        return false;
+    }
     view = state->is_paced(now) ? this->heard_view(peers, view, now) : view;
-    if (this->time_until_send(server, peers, view, now, requests) > duration::zero() ||
-        !state->bucket.try_take(requests, view, now))
+    if (this->time_until_send(server, peers, view, now, requests) > duration::zero())
+    {
+        return false;
+    }
+    const double level = state->bucket.level(now);
+    if (state->is_paced(now) && now >= state->sent_at + active_time && level > requests)
+    {
+        // What the bucket holds is meant for pauses between requests. After a longer one,
+        // each part of a fleet that has just been cut would send all of it.
+        state->bucket.charge_peer_spending(level - requests, now);
+    }
+    if (!state->bucket.try_take(requests, view, now))
     {
         return false;
     }
     state->changed_at = now;
+    state->sent_at = now;
+    state->waits_since = now;
     return true;
 }
 
@@ -302,11 +408,12 @@
 {
     const time_point began_at =
         now - std::chrono::milliseconds(static_cast<std::int64_t>(report.copy_age_ms));
-    const auto [known, is_new_server] =
-        peer.servers.try_emplace(server, peer_spending{report.spent, began_at});
+    const auto [found, is_new_server] =
+        peer.servers.try_emplace(server, peer_spending{report.spent, began_at, {}});
+    peer_spending& known = found->second;
     // A peer that forgot the server counts from 0 again.
     const bool is_first =
-        is_new_server || began_at > known->second.began_at + copy_start_tolerance;
+        is_new_server || began_at > known.began_at + copy_start_tolerance;
     // What was spent before this entry's own copy can't be told.
     const bool is_new = now - state.bounded_at < new_copy_time;
     const bool is_covered = began_at + learning_time >= state.bounded_at;
@@ -314,13 +421,25 @@
                                : is_new
                                    ? 0
                                    : std::min(report.spent, state.bucket.limits().burst);
-    const double spent = is_first ? first_spent : report.spent - known->second.spent;
+    const double spent = is_first ? first_spent : report.spent - known.spent;
     state.bucket.charge_peer_spending(spent, now);
+    // The overage is counted in single seconds, so a longer pause serves nothing. After a
+    // fleet was cut, totals of a long time arrive at once.
+    const double lowest = -state.bucket.limits().refill_per_second;
+    const double level = state.bucket.level(now);
+    if (state.is_paced(now) && !state.per_second && level < lowest)
+    {
+        state.bucket.charge_peer_spending(level - lowest, now);
+    }
     state.peer_spending += is_first ? report.spent : spent;
-    known->second.spent = report.spent;
+    if (spent > 0)
+    {
+        known.rose_at = now;
+    }
+    known.spent = report.spent;
     if (is_first)
     {
-        known->second.began_at = began_at;
+        known.began_at = began_at;
     }
 }
 
@@ -368,7 +487,11 @@
         const bool has_answer = state.own_answered_at != time_point{};
         const bool is_recent =
             !since || std::max(state.changed_at, state.own_answered_at) >= *since;
-        const bool is_cold = now < state.own_cold_until;
+        // Passed on, as those who learned it from the server may have restarted. What was
+        // heard is shortened, or delays would prolong it with each report.
+        const time_point cold_until =
+            std::max(state.own_cold_until, state.cold_until - relay_margin);
+        const bool is_cold = now < cold_until;
         if (is_recent && (has_answer || is_cold || state.bucket.net_spent() != 0))
         {
             const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -379,7 +502,7 @@
                                state.bucket.level(now),
                                to_milliseconds(now - state.added_at),
                                is_cold ? state.cold_per_second : 0,
-                               is_cold ? to_milliseconds(state.own_cold_until - now) : 0};
+                               is_cold ? to_milliseconds(cold_until - now) : 0};
         }
     }
     return reports;
--- a/tests/unit/server_limiter_test.cpp
+++ b/tests/unit/server_limiter_test.cpp
@@ -277,3 +277,58 @@
     CHECK(copy.record_answer("server", std::nullopt, now + 1ms, now + 60ms));
     CHECK(!copy.limit("server"));
 }
+
+TEST_CASE("the least of a server's limit, its cold bound and its pace holds")
+{
+    server_limiter entry("entry");
+    time_point now{1h};
+    const auto sent_in_10s = [&]
+    {
+        int sent = 0;
+        for (int step = 0; step < 1'000; ++step, now += tick)
+        {
+            sent += entry.try_take("server", {}, {}, now) ? 1 : 0;
+        }
+        return sent;
+    };
+    CHECK(!entry.set_cold("server", 0, now + 10s, now));
+    CHECK(!entry.is_paced("server", now));
+    CHECK(entry.set_cold("server", 8, now + 30s, now));
+    CHECK(!entry.set_cold("server", 8, now + 25s, now));
+    CHECK(sent_in_10s() == doctest::Approx(80).epsilon(0.03));
+    entry.set_pace("server", 4, now);
+    CHECK(sent_in_10s() == doctest::Approx(40).epsilon(0.03));
+    CHECK(!entry.limit("server"));
+    entry.record_answer("server", 2, now, now);
+    CHECK(sent_in_10s() == doctest::Approx(20).epsilon(0.06));
+    CHECK(entry.limit("server") == 2);
+    CHECK(!entry.is_cold("server", now));
+    entry.record_answer("server", std::nullopt, now, now);
+    CHECK(entry.is_paced("server", now));
+    entry.set_pace("server", std::nullopt, now);
+    CHECK(!entry.is_paced("server", now));
+    CHECK(sent_in_10s() == 1'000);
+    now += server_limiter::memory;
+    CHECK(entry.make_reports(std::nullopt, now).empty());
+}
+
+TEST_CASE("entries learn from each other that a server is cold, and not for longer")
+{
+    // Guards against a cold time that grows with the delay of each report.
+    server_limiter first("first");
+    server_limiter second("second");
+    time_point now{1h};
+    const time_point cold_until = now + 3s;
+    first.set_cold("server", 8, cold_until, now);
+    CHECK(second.apply("first", 1, first.make_reports(std::nullopt, now), now).size() ==
+          1);
+    for (; now < cold_until; now += 100ms)
+    {
+        const auto reports = first.make_reports(std::nullopt, now);
+        CHECK(second.apply("first", 1, reports, now + 50ms).empty());
+        first.apply("second", 1, second.make_reports(std::nullopt, now + 50ms),
+                    now + 99ms);
+    }
+    CHECK(!first.is_cold("server", cold_until));
+    CHECK(!second.is_cold("server", cold_until + 50ms));
+}
