Digests of returns carry the latency of the server's peers

Cause: an entry that learns of a return from a digest can't tell when first answers are due. A test reads all new fields back and refuses every shortened digest.

--- a/include/agateseam/entry_digest.hpp
+++ b/include/agateseam/entry_digest.hpp
@@ -29,7 +29,7 @@
     double level = 0;                ///< Of the entry's copy of the bucket.
     std::uint64_t copy_age_ms = 0;   ///< Of that copy, whose `spent` began at 0.
     double cold_per_second = 0;      ///< While the entry knows that the server is cold.
-    std::uint64_t cold_ms = 0; ///< How much longer, not counting what others reported.
+    std::uint64_t cold_ms = 0;       ///< How much longer.
 };
 
 /// \brief Why a server returns to service.
@@ -65,9 +65,10 @@
     std::uint32_t number = 0; ///< Increases with each return that the entry records.
     std::uint64_t age_ms = 0; ///< Of the return.
     double capacity_per_second = 0;
-    double start_share = 0; ///< Of the capacity, at which the pace started.
-    double pace = 0;        ///< Requests a second.
-    answer_counts answers;  ///< To this entry, since the return began.
+    std::uint64_t peers_latency_ms = 0; ///< Typical of the server's peers; 0: not known.
+    double start_share = 0;             ///< Of the capacity, at which the pace started.
+    double pace = 0;                    ///< Requests a second; 0 after the end.
+    answer_counts answers;              ///< To this entry, since the return began.
 };
 
 /// \brief How much of an entry's state a digest contains.
--- a/src/gateway/digest_codec.cpp
+++ b/src/gateway/digest_codec.cpp
@@ -1,5 +1,6 @@
 #include <gateway/digest_codec.hpp>
 
+#include <algorithm>
 #include <bit>
 #include <cmath>
 
@@ -77,6 +78,7 @@
         items.push_back(report.number);
         items.push_back(report.age_ms);
         items.push_back(std::llround(report.capacity_per_second * amount_scale));
+        items.push_back(report.peers_latency_ms);
         items.push_back(std::llround(report.start_share * amount_scale));
         items.push_back(std::llround(report.pace * amount_scale));
         items.push_back(report.answers.good);
@@ -298,14 +300,16 @@
 keyed_map<server_return_report> read_returns(integer_reader& reader)
 {
     keyed_map<server_return_report> returns;
-    const std::size_t length = reader.next_length(10);
+    const std::size_t length = reader.next_length(11);
     for (std::size_t index = 0; index < length; ++index)
     {
         server_return_report& report = returns[reader.next_key()];
-        report.cause = static_cast<return_cause>(reader.next());
+        report.cause = static_cast<return_cause>(std::min(
+            reader.next_unsigned(), static_cast<std::uint64_t>(return_cause::rested)));
         report.number = static_cast<std::uint32_t>(reader.next_unsigned());
         report.age_ms = reader.next_unsigned();
         report.capacity_per_second = reader.next_amount();
+        report.peers_latency_ms = reader.next_unsigned();
         report.start_share = reader.next_amount();
         report.pace = reader.next_amount();
         report.answers.good = reader.next_unsigned();
--- a/tests/unit/digest_exchange_test.cpp
+++ b/tests/unit/digest_exchange_test.cpp
@@ -299,3 +299,33 @@
         }
     }
 }
+
+TEST_CASE("a digest keeps the states of limited, cold and returning servers")
+{
+    entry_digest digest;
+    digest.entry = "entry";
+    digest.server_limits["server"] = {2.5, 40, 17, -1.5, 60'000, 32, 4'500};
+    digest.returns["server"] = {
+        return_cause::taken_back, 3, 250, 80, 600, 0.125, 10, {5, 2, 1}};
+    const std::string encoded = encode_digest(digest);
+    const auto decoded = decode_digest(encoded);
+    REQUIRE(decoded);
+    const server_limit_report& limit = decoded->server_limits.at("server");
+    CHECK(limit.level == -1.5);
+    CHECK(limit.copy_age_ms == 60'000);
+    CHECK(limit.cold_per_second == 32);
+    CHECK(limit.cold_ms == 4'500);
+    const server_return_report& returned = decoded->returns.at("server");
+    CHECK(returned.cause == return_cause::taken_back);
+    CHECK(returned.number == 3);
+    CHECK(returned.age_ms == 250);
+    CHECK(returned.capacity_per_second == 80);
+    CHECK(returned.peers_latency_ms == 600);
+    CHECK(returned.start_share == 0.125);
+    CHECK(returned.pace == 10);
+    CHECK(returned.answers == answer_counts{5, 2, 1});
+    for (std::size_t length = 0; length < encoded.size(); ++length)
+    {
+        CHECK(!decode_digest(encoded.substr(0, length)));
+    }
+}
