Derive the pace of returning servers from the answers of all entries

Cause: a server that returns is flooded by all entries or left idle; see docs/design/returning-servers.md. Change: server_pacer is implemented. Returns are joined by the reports of others, except those from an entry's own ejections and rests. Late signs of the same return are ignored.

--- a/include/agateseam/server_pacer.hpp
+++ b/include/agateseam/server_pacer.hpp
@@ -45,12 +45,16 @@
     static constexpr std::chrono::milliseconds unanswered_interval{750};
     static constexpr double first_share = 1.0 / 8; ///< Of the capacity.
     static constexpr double min_share = 1.0 / 32;
+    /// Of the capacity, which is not exceeded without answers.
+    static constexpr double max_unanswered_share = 0.9;
     static constexpr double min_per_second = 1;
     static constexpr double max_bad_share = 0.1;
     static constexpr double max_slow_share = 0.5;
     /// An answer that takes longer than this many times that of the peers is slow.
     static constexpr double slow_factor = 2;
     static constexpr std::chrono::seconds max_return_time{10};
+    /// All entries see a crash within this time.
+    static constexpr std::chrono::seconds crash_detection_time{2};
     /// A return doesn't end by time within this time after a bad answer.
     static constexpr std::chrono::seconds bad_answer_memory{2};
     /// A return this soon after one that ended badly starts slower.
@@ -58,9 +62,10 @@
     /// Used where no latency of a peer is known.
     static constexpr double default_capacity_per_second = 16;
 
-    /// \brief Records that a server returns. A return that all entries see at different
-    /// times is one: a call within `max_return_time` of its start is ignored, unless the
-    /// server crashed or answered badly since.
+    /// \brief Records that a server returns. Entries see the same return at different
+    /// times and by different signs, so a call within `max_return_time` of its start is
+    /// ignored, unless this entry has seen the same cause in it before or the server
+    /// crashed.
     /// \param capacity_per_second what the server handles at full load; 0: not known.
     /// \param peers_latency the typical latency of its peers; zero: not known.
     /// \returns whether a return begins.
@@ -93,6 +98,7 @@
     struct server_return
     {
         return_cause cause{};
+        std::uint32_t number = 0; ///< Of the return, counted by this entry.
         time_point began_at{};
         double capacity_per_second = 0;
         duration peers_latency{};
@@ -101,11 +107,11 @@
         time_point ended_at{};
         time_point step_at{}; ///< When the current interval began.
         time_point changed_at{};
-        time_point bad_at{};            ///< Of the last bad answer to any entry.
-        answer_counts own_answers;      ///< Of this entry, since the return began.
-        answer_counts interval_answers; ///< Of all entries, in the current interval.
-        std::uint32_t number = 0;       ///< Of the return, counted by this entry.
+        std::optional<time_point> bad_at; ///< Of the last bad answer to any entry.
+        answer_counts own_answers;        ///< Of this entry, since the return began.
+        answer_counts interval_answers;   ///< Of all entries, in the current interval.
         bool has_answers = false;
+        std::uint8_t seen_causes = 0; ///< By this entry itself; a bit for each.
     };
     struct peer_answers
     {
@@ -115,15 +121,22 @@
     struct peer_state
     {
         std::uint64_t incarnation = 0;
+        time_point heard_at{};
         keyed_map<peer_answers> servers;
     };
 
-    void begin(name_key server, const server_return& begun, time_point now);
-    void join(name_key server, const server_return_report& report, time_point now);
-    void count(server_return& state, const answer_counts& answers, time_point now);
+    [[nodiscard]] static bool is_same_return(const server_return& state,
+                                             return_cause cause, time_point now);
+    [[nodiscard]] static bool ended_badly(const server_return& state, time_point now);
+    [[nodiscard]] static bool should_join(const server_return* state,
+                                          const server_return_report& report,
+                                          time_point began_at);
+    void begin(name_key server, server_return state, time_point now);
+    static void count(server_return& state, const answer_counts& answers, time_point now);
     void advance(name_key server, server_return& state, time_point now);
-    void step(name_key server, server_return& state, double pace, time_point now);
-    void finish(name_key server, server_return& state, time_point now);
+    void evaluate(name_key server, server_return& state, time_point at);
+    void set_pace(name_key server, server_return& state, std::optional<double> pace,
+                  const answer_counts& answers, time_point at);
     void expire(time_point now);
 
     keyed_map<server_return> returns; ///< Also those that ended of late.
