Returning test: rejected and restarted entries with cold servers

Cause: the bound of a cold server holds for entries out of contact as well. Change: one test with an entry that the store rejects and a server that says only in its listing that it is cold, one in which two of four entries restart meanwhile.

--- a/tests/site/returning_test.py
+++ b/tests/site/returning_test.py
@@ -8,7 +8,7 @@
 import run  # noqa: E402
 from change_test import all_registered  # noqa: E402
 from path_test import check  # noqa: E402
-from platform_site import Site, configuration, wait_for  # noqa: E402
+from platform_site import Entry, Site, configuration, wait_for  # noqa: E402
 from site_callers import Callers  # noqa: E402
 
 COLD_S = 4.0
@@ -21,9 +21,9 @@
 LATENCY_S = 0.02
 
 
-def start_site(build, directory, stages=(), plain=0, pace=True, is_ever_cold=True):
-    """Starts four entries, and in each of two domains the given servers."""
-    site = Site(build, directory, entries=4,
+def start_site(build, directory, stages=(), plain=0, pace=True, is_ever_cold=True, entries=4):
+    """Starts entries, and in each of two domains the given servers."""
+    site = Site(build, directory, entries=entries,
                 settings={"evacuation_ms": 5000, "pace_servers": pace,
                           "regions": {DOMAIN: "north", OTHER: "north"}})
     for zone in (DOMAIN, OTHER):
@@ -140,6 +140,33 @@
         check_cold_in_load(site, MODEL, callers=24)
 
 
+def test_an_entry_that_the_store_rejects_learns_that_a_server_is_cold(build, directory):
+    """Guards against an entry that goes on by its last list until the server says it is cold."""
+    with start_site(build, directory, plain=1, entries=3) as site:
+        address = site.add_store_address()
+        site.entries.append(Entry(site, 3, store=address.address))
+        wait_for(lambda: all_registered(site), "all entries to be registered")
+        site.run_on_loop(address.reject)
+        check_cold_in_load(site, PLAIN, callers=24)
+
+
+def test_an_entry_that_restarts_while_servers_are_cold(build, directory):
+    with start_site(build, directory, plain=1) as site:
+        load = Callers(site, 40, PLAIN, pause_s=0.04).start()
+        time.sleep(1)
+        cold = site.replicas_in(DOMAIN)
+        site.run_on_loop(cold[0].become_cold, COLD_S)
+        for number in (0, 1):
+            time.sleep(0.7)
+            entry = site.entries[number]
+            entry.end()
+            entry.process.wait()
+            entry.start()
+        time.sleep(COLD_S)
+        load.stop()
+        check(check_cold_bound(cold) == 0, "crashed while it was cold")
+
+
 def check_restarts(site, crashing, kinds, callers):
     """A server crashes and comes back, cold, three times."""
     load = Callers(site, callers, kinds, pause_s=0.04).start()
