Ask for unused turns only while a test's fleet sends nothing

Change: entries ask for waits in each tick only while they send nothing; otherwise try_take asks for them.

--- a/tests/unit/server_pacer_test.cpp
+++ b/tests/unit/server_pacer_test.cpp
@@ -244,12 +244,11 @@
             member.limiter.set_pace(step.server, step.pace, this->now);
             member.has_changes = true;
         }
-        const fleet_view view = this->view_of(member);
-        for (const fake_server& server : this->servers)
+        for (std::size_t server = 0; !sends && server < this->servers.size(); ++server)
         {
             // Choices between servers ask also for those that get nothing then.
-            (void)member.limiter.time_until_send(server.id, member.peers, view,
-                                                 this->now);
+            (void)member.limiter.time_until_send(this->servers[server].id, member.peers,
+                                                 this->view_of(member), this->now);
         }
         for (std::size_t server = 0; sends && server < this->servers.size(); ++server)
         {
