Tests of paces by server_pacer at the entry

Change: four cases of returning_servers_test: a start during traffic, a recovery from an ejection, a cold server's capacity, a server that another entry reports.

--- a/tests/unit/returning_servers_test.cpp
+++ b/tests/unit/returning_servers_test.cpp
@@ -179,6 +179,80 @@
     CHECK(entry.state.returning.make_reports(std::nullopt, entry.began + 1s).empty());
 }
 
+TEST_CASE("a server that starts during traffic gets to full pace by good answers")
+{
+    site entry(true, 0);
+    entry.list({make_server("a")}, 0s);
+    CHECK(!entry.is_paced("a", 0s));
+    entry.answer("a", server_observation::good, 1s);
+    entry.list({make_server("a"), make_server("b")}, 2s);
+    CHECK(!entry.is_paced("a", 2s));
+    REQUIRE(entry.is_paced("b", 2s));
+    // Four slots and 50 ms for each request at its peer.
+    const auto reports =
+        entry.state.returning.make_reports(std::nullopt, entry.began + 2s);
+    REQUIRE(reports.contains("b"));
+    CHECK(reports.at("b").capacity_per_second == doctest::Approx(80));
+    CHECK(reports.at("b").cause == return_cause::started);
+    for (duration at = 2s; at < 5s; at += 50ms)
+    {
+        entry.answer("b", server_observation::good, at);
+    }
+    entry.state.returning.update(entry.began + 5s);
+    CHECK(!entry.is_paced("b", 5s));
+    CHECK(entry.state.counters.text().find(
+              "agateseam_server_returns_total{cause=\"started\"} 1") !=
+          std::string::npos);
+    CHECK(entry.state.counters.text().find("agateseam_servers_returning 0") !=
+          std::string::npos);
+}
+
+TEST_CASE("a server that was ejected returns at a pace when an attempt reaches it")
+{
+    site entry(true, 0);
+    entry.list({make_server("a"), make_server("b")}, 0s);
+    for (int attempt = 0; attempt < 2; ++attempt)
+    {
+        entry.answer("a", server_observation::unreachable, 1s);
+    }
+    CHECK(!entry.is_paced("a", 1s));
+    entry.answer("a", server_observation::good, 2s);
+    CHECK(entry.is_paced("a", 2s));
+    entry.answer("b", server_observation::unreachable, 2s);
+    entry.answer("b", server_observation::good, 2s);
+    CHECK(!entry.is_paced("b", 2s));
+}
+
+TEST_CASE("a cold server's pace rises to its cold bound")
+{
+    site entry(true);
+    entry.list({make_server("a")}, 0s);
+    entry.answer("a", server_observation::good, 1s, 10ms);
+    entry.list({make_server("a"), make_server("b")}, 2s);
+    const auto reports =
+        entry.state.returning.make_reports(std::nullopt, entry.began + 2s);
+    REQUIRE(reports.contains("b"));
+    CHECK(reports.at("b").capacity_per_second == doctest::Approx(cold_per_second));
+}
+
+TEST_CASE("a server that other entries report to be cold returns at a pace")
+{
+    site entry(true);
+    entry.list({make_server("a")}, 0s);
+    server_limit_report report;
+    report.per_second = -1;
+    report.cold_per_second = cold_per_second;
+    report.cold_ms = 3'000;
+    keyed_map<server_limit_report> reports;
+    reports["a"] = report;
+    entry.state.returning.note_cold_reports(
+        entry.state.limiter.apply("entry-2", 1, reports, entry.began + 1s),
+        entry.began + 1s);
+    CHECK(entry.is_cold("a", 3'999ms));
+    CHECK(
+        entry.state.returning.make_reports(std::nullopt, entry.began + 1s).contains("a"));
+}
+
 TEST_CASE("servers that wait for their pace don't rest")
 {
     // Guards against callers who are told to come back while a server takes requests.
