First requests to cold servers need no turn; decode servers are paced after failures

Entries waited up to 300 ms for turns at each cold server, a place took two requests, its reservation and its decode, and decode servers started at 1/8 of their capacity while their places were the scarce ones. Change: while a bound has 4/3 requests a second or more for each entry, an entry's first request after a pause of a second is sent at once, charged, and made up for. No reservations at cold or paced servers. Decode servers begin a return only after a failure.

--- a/include/agateseam/fleet_bucket.hpp
+++ b/include/agateseam/fleet_bucket.hpp
@@ -62,6 +62,9 @@
     /// \returns whether it was taken.
     [[nodiscard]] bool try_take(double amount, fleet_view view, time_point now);
 
+    /// \brief Takes an amount whatever the level, which may become negative.
+    void take(double amount, time_point now);
+
     /// \brief Adds an amount that was taken and not used, or that was earned.
     void credit(double amount, time_point now);
 
--- a/include/agateseam/routing_table.hpp
+++ b/include/agateseam/routing_table.hpp
@@ -94,11 +94,11 @@
 {
     std::string name;
     std::uint32_t max_connections = 0; ///< Per server, from all callers; 0: unknown.
+    std::optional<engine_properties> engine; ///< Only of model servers.
     /// How long a server is cold after it starts; zero: servers are never cold.
     std::chrono::milliseconds cold_start{0};
     /// Requests a second that a cold server bears from all entries; 0: no bound.
     double cold_per_second = 0;
-    std::optional<engine_properties> engine; ///< Only of model servers.
 };
 
 /// \brief Limits on the size of callers' requests and on the time they may take.
--- a/include/agateseam/server_limiter.hpp
+++ b/include/agateseam/server_limiter.hpp
@@ -175,6 +175,11 @@
     [[nodiscard]] static duration time_until_turn(limited_server& state,
                                                   std::size_t entries, double requests,
                                                   double fraction, time_point now);
+    /// Tells whether this entry may send to a paced server without a turn, as it has sent
+    /// nothing there of late and the bound is high for the number of entries.
+    [[nodiscard]] static bool needs_no_turn(limited_server& state, const fleet_view& view,
+                                            double requests, time_point now);
+    static void note_sent(limited_server& state, time_point now);
     /// Returns the view without the entries that have just fallen silent.
     [[nodiscard]] fleet_view heard_view(const std::set<std::string>& peers,
                                         fleet_view view, time_point now) const;
--- a/src/core/fleet_bucket.cpp
+++ b/src/core/fleet_bucket.cpp
@@ -54,6 +54,13 @@
     return true;
 }
 
+void fleet_bucket::take(double amount, time_point now)
+{
+    this->refill(now);
+    this->current_level -= amount;
+    this->net_spending += amount;
+}
+
 void fleet_bucket::credit(double amount, time_point now)
 {
     this->refill(now);
--- a/src/core/server_limiter.cpp
+++ b/src/core/server_limiter.cpp
@@ -38,6 +38,13 @@
 /// doesn't find all entries at the end of their waits.
 constexpr auto place_time = 40ms;
 
+/// Up to this many entries for each request a second of a bound, an entry's first request
+/// after a pause needs no turn: all of them at once stay below what a bound allows in a
+/// second, and they are made up for by the requests after them.
+constexpr double max_entries_without_turn = 0.75;
+/// First requests go on while the bucket lacks no more than those of this time.
+constexpr auto max_advance_time = 250ms;
+
 duration silence_limit(std::uint32_t known_entries)
 {
     return std::max<duration>(fleet_ledger::base_digest_interval,
@@ -328,6 +335,22 @@
     return view;
 }
 
+bool server_limiter::needs_no_turn(limited_server& state, const fleet_view& view,
+                                   double requests, time_point now)
+{
+    const double rate = state.bucket.limits().refill_per_second;
+    return !state.per_second && now >= state.sent_at + active_time &&
+           view.known_entries * requests <= max_entries_without_turn * rate &&
+           state.bucket.level(now) >= -rate * to_seconds(max_advance_time);
+}
+
+void server_limiter::note_sent(limited_server& state, time_point now)
+{
+    state.changed_at = now;
+    state.sent_at = now;
+    state.waits_since = now;
+}
+
 duration server_limiter::time_until_send(name_key server,
                                          const std::set<std::string>& peers,
                                          fleet_view view, time_point now, double requests)
@@ -342,6 +365,10 @@
     {
         view = this->heard_view(peers, view, now);
         state->bucket.set_view(view, now);
+        if (needs_no_turn(*state, view, requests, now))
+        {
+            return duration::zero();
+        }
         return std::max(
             duration::zero(),
             time_until_turn(*state, ahead, requests, view.reachable_fraction(), now));
@@ -364,6 +391,16 @@
     {
         return true;
     }
+    view = state->is_paced(now) ? this->heard_view(peers, view, now) : view;
+    state->bucket.set_view(view, now);
+    if (state->is_paced(now) && needs_no_turn(*state, view, requests, now))
+    {
+        const double level = state->bucket.level(now);
+        state->bucket.charge_peer_spending(std::max(0.0, level - requests), now);
+        state->bucket.take(requests, now);
+        note_sent(*state, now);
+        return true;
+    }
     // Most calls of a busy fleet end here, before the entries are put in order.
     if (state->bucket.level(now) <= 0)
     {
@@ -371,7 +408,6 @@
         state->waits_since = now;
         return false;
     }
-    view = state->is_paced(now) ? this->heard_view(peers, view, now) : view;
     if (this->time_until_send(server, peers, view, now, requests) > duration::zero())
     {
         return false;
@@ -387,9 +423,7 @@
     {
         return false;
     }
-    state->changed_at = now;
-    state->sent_at = now;
-    state->waits_since = now;
+    note_sent(*state, now);
     return true;
 }
 
--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -62,7 +62,7 @@
                                      std::string head,
                                      std::shared_ptr<const std::string> body,
                                      std::string request_id, time_point deadline,
-                                     caller_exchange* caller, bool takes_next_send)
+                                     caller_exchange* caller)
 {
     engine_call_result answer;
     answer.withheld = !state.accepts_work(server);
@@ -80,8 +80,7 @@
         state.pool.return_connection(link);
         co_return answer;
     }
-    const bool has_next_send = takes_next_send && state.is_paced(server.id, boot_now());
-    answer.withheld = !state.try_begin_send(server, has_next_send ? 2 : 1);
+    answer.withheld = !state.try_begin_send(server);
     if (answer.withheld)
     {
         state.pool.return_connection(link);
@@ -95,7 +94,6 @@
     const io_outcome head_end =
         co_await read_reply_head(state, server, *link, std::move(request_id), deadline);
     answer = co_await read_answer(state, link, head_end, deadline);
-    answer.has_next_send = has_next_send;
     if (caller != nullptr)
     {
         caller->on_disconnect(nullptr);
--- a/src/gateway/engine_calls.hpp
+++ b/src/gateway/engine_calls.hpp
@@ -10,8 +10,7 @@
 struct engine_call_result
 {
     io_outcome end = io_outcome::not_sent;
-    bool withheld = false;      ///< Not sent, as the server accepts no work or is paced.
-    bool has_next_send = false; ///< A request to a paced server was taken in advance.
+    bool withheld = false; ///< Not sent, as the server accepts no work or is paced.
     message_head head;
     std::string body;
 };
@@ -22,12 +21,11 @@
 /// \param request_id the request that the answer must name, or empty for a call without
 /// one (see `make_reply_filter`).
 /// \param caller the call ends when this caller disconnects; may be null.
-/// \param takes_next_send whether the request that follows the call is taken with it from
-/// the pace of a paced server (`engine_call_result::has_next_send`).
-task<engine_call_result>
-call_engine(entry_state& state, const backend_server& server, std::string head,
-            std::shared_ptr<const std::string> body, std::string request_id,
-            time_point deadline, caller_exchange* caller, bool takes_next_send = false);
+task<engine_call_result> call_engine(entry_state& state, const backend_server& server,
+                                     std::string head,
+                                     std::shared_ptr<const std::string> body,
+                                     std::string request_id, time_point deadline,
+                                     caller_exchange* caller);
 
 /// \brief Sends a call that frees what a server holds in the background, also to a server
 /// that leaves, and logs it when it fails. Sends nothing to a server that rests, limits
--- a/src/gateway/entry_state.cpp
+++ b/src/gateway/entry_state.cpp
@@ -60,11 +60,11 @@
     return this->is_evacuated(server) ? "failure domain evacuated" : "accepts no work";
 }
 
-duration entry_state::limit_wait(const std::string& id, time_point now, double requests)
+duration entry_state::limit_wait(const std::string& id, time_point now)
 {
     return this->is_limited(id) || this->is_paced(id, now)
                ? this->limiter.time_until_send(id, this->ledger.reachable_peers(now),
-                                               this->ledger.view(now), now, requests)
+                                               this->ledger.view(now), now)
                : duration::zero();
 }
 
@@ -79,12 +79,12 @@
                                                             : duration::zero();
 }
 
-bool entry_state::try_begin_send(const backend_server& server, double requests)
+bool entry_state::try_begin_send(const backend_server& server)
 {
-    return this->accepts_work(server) && this->try_take_sends(server.id, requests);
+    return this->accepts_work(server) && this->try_take_sends(server.id);
 }
 
-bool entry_state::try_take_sends(const std::string& id, double requests)
+bool entry_state::try_take_sends(const std::string& id)
 {
     const time_point now = boot_now();
     if (!this->is_limited(id) && !this->is_paced(id, now))
@@ -92,7 +92,7 @@
         return true;
     }
     if (!this->limiter.try_take(id, this->ledger.reachable_peers(now),
-                                this->ledger.view(now), now, requests))
+                                this->ledger.view(now), now))
     {
         return false;
     }
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -93,8 +93,7 @@
 
     /// \brief Returns how long until a server's limit, cold bound and pace admit requests
     /// of this entry; zero without any.
-    [[nodiscard]] duration limit_wait(const std::string& id, time_point now,
-                                      double requests = 1);
+    [[nodiscard]] duration limit_wait(const std::string& id, time_point now);
 
     /// \brief Returns `limit_wait` of a server that limits its requests itself.
     [[nodiscard]] duration own_limit_wait(const std::string& id, time_point now);
@@ -116,12 +115,11 @@
 
     /// \brief Takes what a request to a server needs, just before it is sent.
     /// \returns false if the server accepts no work now, and nothing may be sent.
-    /// \param requests how many are taken, of which the others follow.
-    [[nodiscard]] bool try_begin_send(const backend_server& server, double requests = 1);
+    [[nodiscard]] bool try_begin_send(const backend_server& server);
 
     /// \brief Takes requests from a server's limit, cold bound and pace; always succeeds
     /// without any.
-    [[nodiscard]] bool try_take_sends(const std::string& id, double requests = 1);
+    [[nodiscard]] bool try_take_sends(const std::string& id);
 
     /// \brief Notes that a failure domain was taken back into service.
     void begin_domain_return(name_key domain, time_point now)
--- a/src/gateway/place_finder.cpp
+++ b/src/gateway/place_finder.cpp
@@ -263,19 +263,11 @@
 {
     const bool is_paced =
         this->state->is_paced(server.id, now) && !this->state->is_limited(server.id);
-    const bool may_send =
-        this->state->limit_wait(server.id, now,
-                                is_paced && this->takes_reservations() ? 2 : 1) <=
-        duration::zero();
+    const bool may_send = this->state->limit_wait(server.id, now) <= duration::zero();
     this->is_place_paced |= is_paced && !may_send;
     return may_send;
 }
 
-bool place_finder::takes_reservations() const
-{
-    return this->properties.max_reservation_time > milliseconds(0);
-}
-
 void place_finder::record_pace_wait(std::string_view server)
 {
     if (this->pace_wait_since)
@@ -334,15 +326,16 @@
 
 task<bool> place_finder::reserve(decode_place& place)
 {
-    if (this->state->is_limited(place.chosen_server().id))
+    if (this->state->is_limited(place.chosen_server().id) ||
+        this->state->is_paced(place.chosen_server().id, boot_now()))
     {
-        // Of the requests that the server takes, none is spent on a reservation.
+        // Of the requests that the server takes, none is spent on a reservation. A server
+        // that returns is nearly empty, so what the entries know of it suffices.
         co_return this->begin_send(place);
     }
-    if (!this->takes_reservations())
+    if (this->properties.max_reservation_time <= milliseconds(0))
     {
-        co_return !this->state->is_paced(place.chosen_server().id, boot_now()) ||
-            this->begin_send(place);
+        co_return true;
     }
     const auto lifetime = std::min<milliseconds>(this->properties.max_reservation_time,
                                                  max_reservation_lifetime);
@@ -350,12 +343,11 @@
         co_await call_engine(*this->state, place.chosen_server(),
                              this->state->dialect->write_reservation_request(
                                  place.chosen_server(), this->initial_tokens(), lifetime),
-                             nullptr, "", boot_now() + reserve_timeout, nullptr, true);
+                             nullptr, "", boot_now() + reserve_timeout, nullptr);
     if (answer.withheld)
     {
         co_return false;
     }
-    place.has_send = answer.has_next_send;
     const bool no_reply = answer.end != io_outcome::good;
     if (no_reply)
     {
@@ -365,7 +357,6 @@
     if (no_reply || answer.head.status != status_ok)
     {
         this->state->counters.add("agateseam_reservations_total{outcome=\"refused\"}");
-        this->refund_send(place);
         co_return false;
     }
     auto reservation = this->state->dialect->read_reservation_reply(answer.body);
@@ -373,7 +364,6 @@
     {
         log_error("invalid reservation reply ignored", reservation.error(),
                   {{"request", this->scope->metadata.id}});
-        this->refund_send(place);
         co_return false;
     }
     this->state->counters.add("agateseam_reservations_total{outcome=\"held\"}");
@@ -392,17 +382,12 @@
     return place.has_send;
 }
 
-void place_finder::refund_send(decode_place& place)
+void place_finder::release(decode_place& place)
 {
     if (std::exchange(place.has_send, false))
     {
         this->state->limiter.refund(place.chosen_server().id, boot_now());
     }
-}
-
-void place_finder::release(decode_place& place)
-{
-    this->refund_send(place);
     if (!place.reservation.empty())
     {
         release_at_engine(*this->state, place.chosen_server(),
--- a/src/gateway/place_finder.hpp
+++ b/src/gateway/place_finder.hpp
@@ -68,9 +68,7 @@
     choose(time_point now, std::string_view excluded, bool needs_spare);
     [[nodiscard]] bool has_spare(const backend_server& server) const;
     [[nodiscard]] bool may_send_to(const backend_server& server, time_point now);
-    [[nodiscard]] bool takes_reservations() const;
     void record_pace_wait(std::string_view server);
-    void refund_send(decode_place& place);
     [[nodiscard]] std::int64_t initial_tokens() const;
     task<bool> reserve(decode_place& place);
     void leave_queue(waiting_queue::ticket ticket);
--- a/src/gateway/returning_servers.cpp
+++ b/src/gateway/returning_servers.cpp
@@ -15,6 +15,19 @@
     return std::chrono::duration<double>(span).count();
 }
 
+bool decodes(const backend_server& server) noexcept
+{
+    return server.stage == engine_stage::decode || server.stage == engine_stage::both;
+}
+
+/// Tells whether a return follows a failure. Slots and memory bound what is sent to a
+/// decode server at once, and its places are the scarce ones, so only a failure is a
+/// reason to fill it slowly.
+bool is_failure(return_cause cause) noexcept
+{
+    return cause == return_cause::crashed || cause == return_cause::recovered;
+}
+
 /// Returns the rate of a server that takes so many requests at once; 0 when unknown.
 double rate_of(std::uint32_t slots, duration typical_time) noexcept
 {
@@ -157,7 +170,7 @@
                                      time_point now)
 {
     const backend_server& server = *known.server;
-    if (!this->state->settings.pace_servers)
+    if (!this->state->settings.pace_servers || (decodes(server) && !is_failure(cause)))
     {
         return;
     }
--- a/tests/unit/returning_servers_test.cpp
+++ b/tests/unit/returning_servers_test.cpp
@@ -174,7 +174,10 @@
     entry.state.begin_domain_return("north-a", entry.began + 1s);
     CHECK(!entry.is_paced("a", 1s));
     CHECK(!entry.is_paced("b", 1s));
-    CHECK(entry.state.try_take_sends("a", 1'000));
+    for (int sent = 0; sent < 1'000; ++sent)
+    {
+        REQUIRE(entry.state.try_take_sends("a"));
+    }
     CHECK(entry.state.limiter.make_reports(std::nullopt, entry.began + 1s).empty());
     CHECK(entry.state.returning.make_reports(std::nullopt, entry.began + 1s).empty());
 }
@@ -223,6 +226,21 @@
     CHECK(!entry.is_paced("b", 2s));
 }
 
+TEST_CASE("a decode server returns at a pace after a failure only")
+{
+    // Guards against callers who wait while the places of a server that started are free.
+    site entry(true, 0);
+    auto started = make_server("b");
+    started.stage = engine_stage::decode;
+    entry.list({make_server("a")}, 0s);
+    entry.list({make_server("a"), started}, 1s);
+    CHECK(!entry.is_paced("b", 1s));
+    entry.answer("b", server_observation::unreachable, 2s);
+    entry.answer("b", server_observation::unreachable, 2s);
+    entry.answer("b", server_observation::good, 3s);
+    CHECK(entry.is_paced("b", 3s));
+}
+
 TEST_CASE("a cold server's pace rises to its cold bound")
 {
     site entry(true);
@@ -259,6 +277,8 @@
     site entry(true);
     entry.list({make_server("a", 1, 60s)}, 0s);
     const time_point now = boot_now();
+    // An entry's first request needs no turn.
+    REQUIRE(entry.state.try_begin_send(make_server("a")));
     CHECK(entry.state.pace_wait("a", now) > 0s);
     CHECK(!entry.state.time_all_busy("work", region_filter(), now));
     CHECK(!entry.state.try_begin_send(make_server("a")));
--- a/tests/unit/server_pacer_test.cpp
+++ b/tests/unit/server_pacer_test.cpp
@@ -422,7 +422,7 @@
 TEST_CASE("a cold server gets its rate and no more from entries that see it at once")
 {
     // Guards against entries that all take the same token, and against idle ones.
-    for (const std::size_t size : {1, 6, 40, 100})
+    for (const std::size_t size : {1, 6, 24, 40, 100})
     {
         for (const bool paces : {false, true})
         {
@@ -440,7 +440,7 @@
 
 TEST_CASE("a server that becomes cold under load is paced although entries learn late")
 {
-    for (const std::size_t size : {6, 40, 100})
+    for (const std::size_t size : {6, 24, 40, 100})
     {
         for (const bool paces : {false, true})
         {
@@ -462,7 +462,7 @@
 TEST_CASE("a healthy server is paced up to its whole rate under a burst")
 {
     // Load: twice the server's capacity. The latency of 2.5 s gives no answers before.
-    for (const std::size_t size : {1, 6, 40, 100})
+    for (const std::size_t size : {1, 6, 24, 40, 100})
     {
         for (const duration latency :
              {duration(200ms), typical_latency, duration(2500ms)})
@@ -518,7 +518,7 @@
 TEST_CASE(
     "an entry that is cut off, has a stale list or has just started keeps the bound")
 {
-    for (const std::size_t size : {6, 40, 100})
+    for (const std::size_t size : {6, 24, 40, 100})
     {
         CAPTURE(size);
         for (const bool paces : {false, true})
@@ -550,7 +550,7 @@
 {
     // Guards against halves that both spend the whole until their time-outs, also when a
     // burst begins at that moment.
-    for (const std::size_t size : {2, 6, 40, 100})
+    for (const std::size_t size : {2, 6, 24, 40, 100})
     {
         for (const bool had_load : {false, true})
         {
@@ -571,7 +571,7 @@
 
 TEST_CASE("two requests that are taken together keep the bound of a cold server")
 {
-    for (const std::size_t size : {6, 40, 100})
+    for (const std::size_t size : {6, 24, 40, 100})
     {
         CAPTURE(size);
         pacing_fleet fleet(size);
