A crash soon after a decode server's start begins a paced return

Cause: decode servers begin a return only after a failure, and a crash counted as one only within 10 s of a return, so a decode server that crashed soon after its start was never paced. Change: the start is remembered as the beginning of that time.

--- a/src/gateway/returning_servers.cpp
+++ b/src/gateway/returning_servers.cpp
@@ -170,8 +170,14 @@
                                      time_point now)
 {
     const backend_server& server = *known.server;
-    if (!this->state->settings.pace_servers || (decodes(server) && !is_failure(cause)))
+    if (!this->state->settings.pace_servers)
+    {
+        return;
+    }
+    if (decodes(server) && !is_failure(cause))
     {
+        // A crash soon after this is a failure that begins a return.
+        known.returned_at = now;
         return;
     }
     if (this->pacer.begin_return(server.id, cause, this->capacity(server, now),
--- a/tests/unit/returning_servers_test.cpp
+++ b/tests/unit/returning_servers_test.cpp
@@ -239,6 +239,12 @@
     entry.answer("b", server_observation::unreachable, 2s);
     entry.answer("b", server_observation::good, 3s);
     CHECK(entry.is_paced("b", 3s));
+    auto other = make_server("c");
+    other.stage = engine_stage::decode;
+    entry.list({make_server("a"), started, other}, 4s);
+    CHECK(!entry.is_paced("c", 4s));
+    entry.state.returning.record_crash(other, entry.began + 5s);
+    CHECK(entry.is_paced("c", 5s));
 }
 
 TEST_CASE("a cold server's pace rises to its cold bound")
