--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -45,6 +45,7 @@
     {
         answer.end = co_await link->read_whole(deadline, max_answer_size);
     }
+    answer.received_bytes = link->received_bytes();
     if (answer.end != io_outcome::good)
     {
         link->close();
--- a/src/gateway/engine_calls.hpp
+++ b/src/gateway/engine_calls.hpp
@@ -11,6 +11,7 @@
 {
     io_outcome end = io_outcome::not_sent;
     bool withheld = false; ///< Not sent, as the server accepts no work or is paced.
+    std::size_t received_bytes = 0; ///< Of the answer, also when it is incomplete.
     message_head head;
     std::string body;
 };
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -252,9 +252,11 @@
         this->state.ledger.set_routing(*this->state.routing, now);
         this->state.publish_servers();
         this->state.digest_due.notify();
-        log_line(log_level::info, "configuration in force",
-                 {{"version", static_cast<std::int64_t>(this->state.routing->version())},
-                  {"before", static_cast<std::int64_t>(own_version)}});
+        log_line(
+            log_level::info, "configuration in force",
+            {{"version", static_cast<std::int64_t>(this->state.routing->version())},
+             {"before", static_cast<std::int64_t>(own_version)},
+             {"bytes", static_cast<std::int64_t>(this->state.routing_document.size())}});
     }
 
     /// Logs when the store's configuration is older than the one in force, as after it
@@ -330,7 +332,10 @@
         if (answer.end != io_outcome::good || answer.head.status != status_ok)
         {
             log_line(log_level::info, "entry did not answer",
-                     {{"peer", address}, {"path", path}, {"end", to_string(answer.end)}});
+                     {{"peer", address},
+                      {"path", path},
+                      {"end", to_string(answer.end)},
+                      {"bytes", static_cast<std::int64_t>(answer.received_bytes)}});
             co_return std::nullopt;
         }
         co_return std::move(answer.body);
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -160,6 +160,7 @@
 {
     this->parser.reset();
     this->request_sent_at = boot_now();
+    this->bytes_received = 0;
     this->timed_out = false;
     this->writing = true;
     this->is_head_request = head.starts_with("HEAD ");
@@ -237,6 +238,7 @@
         co_return io_outcome::broken;
     }
     this->input.append(bytes.data(), count);
+    this->bytes_received += count;
     co_return io_outcome::good;
 }
 
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -113,6 +113,12 @@
     /// \brief Returns when the current request was sent.
     [[nodiscard]] time_point sent_at() const noexcept { return this->request_sent_at; }
 
+    /// \brief Returns how many bytes have arrived since the current request was sent.
+    [[nodiscard]] std::size_t received_bytes() const noexcept
+    {
+        return this->bytes_received;
+    }
+
     time_point idle_since{};
     duration idle_timeout{}; ///< As the server stated, or the default.
 
@@ -138,6 +144,7 @@
     std::uint64_t responses_read = 0; ///< Without interim ones.
     bool is_head_request = false;     ///< Method HEAD: the response has no body.
     time_point request_sent_at{};
+    std::size_t bytes_received = 0; ///< Since `request_sent_at`.
     bool writing = false;
     bool closed = false;
     bool timed_out = false;
