--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -18,6 +18,8 @@
 import threading
 import time
 
+from site_links import Link
+
 HOST = "site.example"
 KEY = "key-of-oshana-0001"
 EVENT = "id: %d\ndata: %s\n\n"
@@ -134,6 +136,7 @@
         self.journal = []  # (time, revision, kind, name, object or None) of each change
         # A function of a request that returns for how long its response is held back.
         self.response_delay = None
+        self.link_addresses = {}  # Of entries' links, by the addresses that they register.
         self.refused_kinds = set()  # Calls for objects of these kinds are answered with 503.
         self.open_calls = {}  # the latest request of each open connection by its writer
 
@@ -252,6 +255,9 @@
         if request.method == "DELETE":
             return (200, {}) if self.remove(kind, name) else (404, {})
         sent_object = json.loads(request.body)
+        registered = sent_object.get("spec")
+        if isinstance(registered, dict) and registered.get("address") in self.link_addresses:
+            registered["address"] = self.link_addresses[registered["address"]]
         object_name = name or sent_object["metadata"]["name"]
         existing = self.objects_by_kind.get(kind, {}).get(object_name)
         if request.method == "POST" and existing:
@@ -608,6 +614,11 @@
                                 "peers": f"127.0.0.1:{self.peers}", "seeds": [],
                                 "store": site.store.address, "grace_ms": site.grace_ms,
                                 "fleet": site.fleet, **site.extra_settings, **settings}
+        self.store_link, self.peer_link = None, None
+        if site.link_bytes_per_s:
+            self.store_link = site.add_link(site.store.address)
+            self.peer_link = site.add_link(self.settings_values["peers"], site.peer_links)
+            self.settings_values["store"] = self.store_link.address
         with open(self.settings_path, "w", encoding="utf-8") as file:
             json.dump(self.settings_values, file)
         self.log_path = os.path.join(site.directory, self.name + ".log")
@@ -708,6 +719,8 @@
         self.thread.start()
         self.store = self.run_coroutine(self.make_store())
         self.replicas = []
+        self.link_bytes_per_s = 0  # If set, of each entry's links to the store and to entries.
+        self.peer_links = {}  # By the addresses of the entries that they stand for.
         self.entry_count = entries
         self.entries = []
 
@@ -747,6 +760,14 @@
             return address
         return self.run_coroutine(make())
 
+    def add_link(self, target, peer_links=None):
+        link = self.run_coroutine(
+            Link(target, self.link_bytes_per_s, peer_links).start(free_port()))
+        if peer_links is not None:
+            peer_links[target] = link
+            self.store.link_addresses[target] = link.address
+        return link
+
     def evacuate(self, domain, content=None):
         """Returns the time of the store's answer."""
         self.run_on_loop(self.store.put, "evacuations", domain, {} if content is None else content)
--- a/tests/site/path_test.py
+++ b/tests/site/path_test.py
@@ -14,8 +14,9 @@
     Site, configuration, reset_connection, response_bytes, route, send_request, wait_for)
 
 
-def start_site(build, directory, **members):
+def start_site(build, directory, link_bytes_per_s=0, **members):
     site = Site(build, directory, **members)
+    site.link_bytes_per_s = link_bytes_per_s
     site.add_default_replicas()
     site.configure(1)
     return site.start()
