Watch the store from entries with fast links, and outlast late digests

What callers saw: on thin entries most answers were late for a second after each change of a large configuration. Cause: the entries that watch the store for the others were chosen by hash alone, so some had links of 10 Mbit/s, which one document fills for 0.7 s. Digests queue behind it; after 0.7 s without one, an entry took the others for lost and read the document from the store itself. Change: entries register their link; candidates are ordered by its power of two, then by hash. An entry stays a candidate for 3 s after its last digest; a relay that died is still noticed by the calls to it.

--- a/include/agateseam/fleet_ledger.hpp
+++ b/include/agateseam/fleet_ledger.hpp
@@ -57,6 +57,10 @@
     /// An entry that started less than this ago takes the levels of an entry that has
     /// run for longer.
     static constexpr std::chrono::milliseconds new_entry_age{3'000};
+    /// An entry stays a candidate for watching the store for this long after its last
+    /// digest. Digests are late while a link is full, and an entry that takes all others
+    /// for lost watches the store itself, over the same link.
+    static constexpr std::chrono::milliseconds watch_candidate_timeout{3'000};
     static constexpr double burst_part_of_excess = 0.4;
     static constexpr double initial_part_of_reserve = 0.25;
     /// Fraction of the repeat budget that the bucket's capacity and its refill per window
@@ -141,8 +145,8 @@
     /// \brief Tells whether, among the reachable entries, this one queries the server.
     [[nodiscard]] bool polls_server(std::string_view server, time_point now) const;
 
-    /// \brief Returns the other reachable entries that aren't leaving, as possible
-    /// watchers of the store.
+    /// \brief Returns the other entries that were heard lately and aren't leaving, as
+    /// possible watchers of the store; their links are not known here.
     [[nodiscard]] std::vector<watch_candidate> watch_candidates(time_point now) const;
 
     [[nodiscard]] fleet_view view(time_point now) const;
--- a/include/agateseam/store_watch_plan.hpp
+++ b/include/agateseam/store_watch_plan.hpp
@@ -15,6 +15,7 @@
 {
     std::string name;
     bool reaches_store = false; ///< By its own latest report.
+    double link_mbps = 0;       ///< Of its VM; 0 if it isn't known.
 };
 
 /// \brief Where an entry learns of changes in the store.
@@ -40,6 +41,10 @@
 /// choose the same ones without communication; where they disagree for a moment, some
 /// watch needlessly. An entry that the store turns away doesn't watch while others do.
 ///
+/// A watcher reads each changed document whole and sends it to its followers, so entries
+/// with faster links watch first: a large configuration fills a link of 10 Mbit/s for a
+/// second, in which its callers wait.
+///
 /// \param own this entry.
 /// \param others the entries that it hears.
 [[nodiscard]] store_watch_plan plan_store_watch(const watch_candidate& own,
--- a/src/core/fleet_ledger.cpp
+++ b/src/core/fleet_ledger.cpp
@@ -394,9 +394,11 @@
     std::vector<watch_candidate> candidates;
     for (const auto& [entry, other] : this->peers)
     {
-        if (now - other.last_heard < this->peer_timeout() && !other.state.leaving)
+        if (now - other.last_heard <
+                std::max<duration>(this->peer_timeout(), watch_candidate_timeout) &&
+            !other.state.leaving)
         {
-            candidates.push_back({entry, other.state.reaches_store});
+            candidates.push_back({entry, other.state.reaches_store, 0});
         }
     }
     return candidates;
--- a/src/core/store_watch_plan.cpp
+++ b/src/core/store_watch_plan.cpp
@@ -1,6 +1,7 @@
 #include <agateseam/store_watch_plan.hpp>
 
 #include <algorithm>
+#include <bit>
 
 #include <xxhash.h>
 
@@ -28,6 +29,15 @@
               { return hash_weight(left->name, seed) > hash_weight(right->name, seed); });
 }
 
+/// Returns the power of two of a link's speed, so that links of about the same speed
+/// count as equal.
+unsigned link_class(const watch_candidate& entry) noexcept
+{
+    constexpr double max_link_mbps = 1e9;
+    const double speed = std::clamp(entry.link_mbps, 0.0, max_link_mbps);
+    return static_cast<unsigned>(std::bit_width(static_cast<std::uint64_t>(speed)));
+}
+
 } // namespace
 
 std::size_t watcher_count(std::size_t entries) noexcept
@@ -67,6 +77,9 @@
         }
     }
     sort_by_weight(candidates, 0);
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const watch_candidate* left, const watch_candidate* right)
+                     { return link_class(*left) > link_class(*right); });
     candidates.resize(std::min(candidates.size(), watcher_count(others.size() + 1)));
     if (std::find(candidates.begin(), candidates.end(), &own) != candidates.end())
     {
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -205,6 +205,11 @@
 
     void on_entries(std::vector<registered_entry> entries) override
     {
+        this->links_mbps.clear();
+        for (const registered_entry& entry : entries)
+        {
+            this->links_mbps[entry.vm] = entry.link_mbps;
+        }
         this->peers->set_entries(entries);
     }
 
@@ -230,10 +235,17 @@
 
     [[nodiscard]] store_watch_plan plan_watch() const override
     {
+        auto others = this->state.ledger.watch_candidates(boot_now());
+        for (watch_candidate& other : others)
+        {
+            const auto link_mbps = this->links_mbps.find(other.name);
+            other.link_mbps = link_mbps == this->links_mbps.end() ? 0 : link_mbps->second;
+        }
         store_watch_plan plan =
             plan_store_watch({this->state.settings.vm,
-                              this->state.store_reachable && !this->state.draining()},
-                             this->state.ledger.watch_candidates(boot_now()));
+                              this->state.store_reachable && !this->state.draining(),
+                              this->state.settings.link_mbps},
+                             others);
         for (std::string& relay : plan.relays)
         {
             relay = this->peers->address_of(relay);
@@ -552,6 +564,7 @@
     std::size_t requests_cut = 0;
     time_point last_configuration_fetch_at{};
     bool is_fetching_configuration = false;
+    std::map<std::string, double> links_mbps; ///< Of the listed entries, by name.
 };
 
 } // namespace
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t max_duration_ms = 86'400'000;
 constexpr double max_tokens = 1e15;
 constexpr double max_memory_mb = 1e9;
+constexpr double max_link_mbps = 1e9;
 constexpr double default_memory_mb = 256;
 constexpr double bytes_per_mb = 1 << 20;
 
@@ -112,6 +113,7 @@
         settings.memory_bytes = static_cast<std::size_t>(
             section.number("memory_mb", 1, max_memory_mb, default_memory_mb) *
             bytes_per_mb);
+        settings.link_mbps = section.number("link_mbps", 0, max_link_mbps, 0);
         settings.log =
             parse_log_level(section.one_of("log", {"debug", "info", "warning"}, "info"));
         settings.evacuation_time =
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -39,6 +39,7 @@
     bool pace_servers = false;
     std::map<std::string, std::string, std::less<>> regions; ///< By failure domain.
     std::size_t memory_bytes = std::size_t{256} << 20; ///< Of the VM, for the process.
+    double link_mbps = 0; ///< Of the VM; 0 if it isn't known.
     log_level log = log_level::info;
 
     /// \brief Parses and validates a settings document.
--- a/src/gateway/platform_link.hpp
+++ b/src/gateway/platform_link.hpp
@@ -27,6 +27,7 @@
     std::string vm;
     std::string address; ///< "IP:port" for other entries.
     std::uint64_t incarnation = 0;
+    double link_mbps = 0; ///< Of its VM; 0 if it isn't known.
 };
 
 /// \brief Receives the changes that the platform announces.
--- a/tests/unit/store_watch_plan_test.cpp
+++ b/tests/unit/store_watch_plan_test.cpp
@@ -1,8 +1,11 @@
+#include <algorithm>
 #include <map>
 #include <set>
 
 #include <doctest/doctest.h>
 
+#include <agateseam/entry_digest.hpp>
+#include <agateseam/fleet_ledger.hpp>
 #include <agateseam/store_watch_plan.hpp>
 
 using namespace agateseam;
@@ -95,6 +98,48 @@
     }
 }
 
+TEST_CASE("entries with fast links watch before those with slow ones")
+{
+    for (const std::size_t size : {22U, 100U, 300U})
+    {
+        CAPTURE(size);
+        auto fleet = make_fleet(size);
+        std::set<std::string> fast;
+        for (std::size_t entry = 0; entry < size; ++entry)
+        {
+            // Two thirds have 10 Mbit/s, and some of the others aren't known.
+            const bool is_fast = entry % 3 == 0 && entry % 4 != 0;
+            fleet[entry].link_mbps = is_fast ? 190 + entry % 20 : entry % 3 == 0 ? 0 : 10;
+            if (is_fast)
+            {
+                fast.insert(fleet[entry].name);
+            }
+        }
+        const auto watchers = watchers_of(fleet);
+        CHECK(watchers.size() == watcher_count(size));
+        CHECK(std::includes(fast.begin(), fast.end(), watchers.begin(), watchers.end()));
+
+        // The fast ones are lost, and slower ones take their place.
+        std::erase_if(fleet, [&](const watch_candidate& entry)
+                      { return fast.contains(entry.name); });
+        CHECK(watchers_of(fleet).size() == watcher_count(fleet.size()));
+    }
+}
+
+TEST_CASE("an entry that hears no digest for a second still follows the others")
+{
+    const time_point start{};
+    fleet_ledger ledger("front-0", 1, {}, start);
+    entry_digest digest;
+    digest.entry = "front-1";
+    digest.incarnation = 1;
+    digest.sequence = 1;
+    digest.reaches_store = true;
+    REQUIRE(ledger.apply(digest, start));
+    CHECK(ledger.watch_candidates(start + std::chrono::seconds(1)).size() == 1);
+    CHECK(ledger.watch_candidates(start + fleet_ledger::watch_candidate_timeout).empty());
+}
+
 TEST_CASE("watchers that are lost are replaced by others")
 {
     auto fleet = make_fleet(100);
