Take refused prefills from the repeat budget

Cause: the first prefill and the first decode of a request were both free. A prefill that a server accepts doesn't count, but a refused one does, and the decode after it is then the second arrival: one uncounted for each refused prefill. Class: what is free depends on an outcome that was not looked at. Change: request_arrivals counts what servers get of a request, refused and lost prefills included. A repeat is reserved before each prefill and goes back when it isn't needed; without one, the decode server reads the prompt itself, so no caller is refused for the budget.

--- a/include/agateseam/fleet_ledger.hpp
+++ b/include/agateseam/fleet_ledger.hpp
@@ -105,6 +105,8 @@
 
     /// \brief Counts a request for a service, which earns a fraction of a repeat.
     void add_repeat_credit(const std::string& service, time_point now);
+    /// \brief Returns a repeat that was taken and not used.
+    void return_repeat(const std::string& service, time_point now);
     /// \brief Takes one repeat.
     /// \returns whether it was taken.
     [[nodiscard]] bool try_take_repeat(const std::string& service, time_point now);
--- a/src/core/fleet_ledger.cpp
+++ b/src/core/fleet_ledger.cpp
@@ -128,6 +128,15 @@
     }
 }
 
+void fleet_ledger::return_repeat(const std::string& service, time_point now)
+{
+    const auto found = this->repeats.find(service);
+    if (found != this->repeats.end())
+    {
+        found->second.credit(1, now);
+    }
+}
+
 bool fleet_ledger::try_take_repeat(const std::string& service, time_point now)
 {
     const auto found = this->repeats.find(service);
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -271,8 +271,8 @@
         {
             co_return this->withhold(place, kv_source);
         }
-        if (this->requests_sent > 0 && !std::exchange(this->has_reserved_repeat, false) &&
-            !this->state->ledger.try_take_repeat(this->scope->service, boot_now()))
+        this->has_reserved_repeat = false;
+        if (!this->scope->may_arrive())
         {
             this->place_search.release(place);
             this->release_kv_cache(kv_source);
@@ -323,7 +323,7 @@
         options.kv_source = kv_source;
         options.reservation = place.reservation;
         options.last_event_number = this->last_event_number;
-        ++this->requests_sent;
+        this->scope->arrivals.record_run();
         ++this->scope->attempts;
         this->scope->is_trial = false;
         place.has_send = false;
@@ -618,8 +618,7 @@
         {
             co_return false;
         }
-        if (this->is_caller_gone() ||
-            !this->state->ledger.try_take_repeat(this->scope->service, boot_now()))
+        if (this->is_caller_gone() || !this->scope->may_arrive())
         {
             this->place_search.release(*reserved);
             co_return false;
@@ -742,7 +741,6 @@
     std::optional<name_key> version; ///< Of the servers that may go on with the stream.
     bool is_version_unknown = false; ///< The stream has begun at an unknown version.
     time_point announced_at{};
-    std::uint32_t requests_sent = 0;  ///< Requests sent to decode servers.
     bool has_reserved_repeat = false; ///< Taken before a silent stream was ended.
     std::unique_ptr<decode_place> replacement; ///< For the rest of a silent stream.
     std::uint32_t refusals = 0;
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -69,11 +69,13 @@
         });
 }
 
-/// Takes a repeat from the budget, except for the first prefill of a request.
 bool prompt_prefiller::may_call_server()
 {
-    return this->call_count++ == 0 ||
-           this->state->ledger.try_take_repeat(this->scope->service, boot_now());
+    if (this->state->settings.ledger.repeat_extra <= 0)
+    {
+        return !this->scope->arrivals.any();
+    }
+    return this->scope->reserve_repeat();
 }
 
 task<std::string>
@@ -97,13 +99,20 @@
         *this->state, *candidate, this->state->dialect->write_request(request, options),
         request.body, this->scope->metadata.id, deadline, this->scope->exchange);
     const duration elapsed = boot_now() - started_at;
+    const auto prefilled = this->state->dialect->read_prefill_reply(reply.body);
+    const bool is_accepted = reply.end == io_outcome::good &&
+                             reply.head.status == status_ok && prefilled.has_value();
+    if (!reply.withheld && reply.end != io_outcome::not_sent)
+    {
+        this->scope->arrivals.record_prefill(is_accepted);
+    }
+    this->scope->return_unused_repeat();
     if (this->scope->exchange->disconnected())
     {
         co_return "";
     }
     if (reply.withheld)
     {
-        --this->call_count;
         log_failure(*this->scope, "prefill withheld", candidate->id,
                     this->scope->withheld_reason(*candidate));
         co_return "";
@@ -115,8 +124,7 @@
         log_failure(*this->scope, "prefill failed", candidate->id, to_string(reply.end));
         co_return "";
     }
-    const auto prefilled = this->state->dialect->read_prefill_reply(reply.body);
-    if (reply.head.status != status_ok || !prefilled)
+    if (!is_accepted)
     {
         record_observation(*this->state, candidate->id, server_observation::refused,
                            elapsed);
--- a/src/gateway/prompt_prefiller.hpp
+++ b/src/gateway/prompt_prefiller.hpp
@@ -33,7 +33,8 @@
   private:
     [[nodiscard]] std::shared_ptr<const backend_server>
     choose(const std::vector<std::string>& tried, std::optional<name_key> version) const;
-    /// Takes a repeat from the budget, except for the first call of a request.
+    /// Takes a repeat for the case that the call is refused, and the decode after it is
+    /// the second arrival. Without one, the decode server reads the prompt itself.
     [[nodiscard]] bool may_call_server();
     task<std::string> prefill_on(std::shared_ptr<const backend_server> candidate,
                                  std::optional<std::int64_t> last_event_number);
@@ -42,7 +43,6 @@
     entry_state* state;
     engine_service* engines;
     std::shared_ptr<const backend_server> server;
-    std::uint32_t call_count = 0;
 };
 
 } // namespace agateseam
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -140,6 +140,38 @@
     return owner != nullptr && owner->name == this->workspace->name;
 }
 
+bool request_scope::may_arrive()
+{
+    if (this->arrivals.is_covered())
+    {
+        return true;
+    }
+    if (!this->reserve_repeat())
+    {
+        log_failure(*this, "repeat denied", this->server, "no repeat left");
+        return false;
+    }
+    return true;
+}
+
+bool request_scope::reserve_repeat()
+{
+    const bool is_taken = this->state->ledger.try_take_repeat(this->service, boot_now());
+    if (is_taken)
+    {
+        this->arrivals.add_repeat();
+    }
+    return is_taken;
+}
+
+void request_scope::return_unused_repeat()
+{
+    if (this->arrivals.remove_unused_repeat())
+    {
+        this->state->ledger.return_repeat(this->service, boot_now());
+    }
+}
+
 void request_scope::refund_charged_tokens()
 {
     if (this->workspace != nullptr && this->charged_tokens > 0)
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include <agateseam/request_arrivals.hpp>
 #include <gateway/entry_state.hpp>
 #include <gateway/region_filter.hpp>
 
@@ -24,6 +25,7 @@
     double charged_tokens = 0;       ///< Taken from the allowance.
     time_point deadline{};           ///< The answer must be complete by then.
     request_parts parts;             ///< What may crash a server.
+    request_arrivals arrivals;       ///< Model requests: at servers.
     std::uint32_t possible_runs = 0; ///< Attempts that a server may have run.
     bool is_trial = false;           ///< May be sent once although it is blocked.
 
@@ -96,6 +98,14 @@
     /// request.
     [[nodiscard]] bool is_key_valid() const;
 
+    /// \brief Takes a repeat from the fleet's budget if the next arrival at a server
+    /// needs one. A denied repeat is logged.
+    [[nodiscard]] bool may_arrive();
+    /// \brief Takes a repeat before it is known whether it is needed.
+    [[nodiscard]] bool reserve_repeat();
+    /// \brief Returns a reserved repeat that turned out not to be needed.
+    void return_unused_repeat();
+
     /// \brief Returns the charged tokens to the allowance when the request did not run.
     void refund_charged_tokens();
 };
