--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -137,6 +137,7 @@
         # A function of a request that returns for how long its response is held back.
         self.response_delay = None
         self.link_addresses = {}  # Of entries' links, by the addresses that they register.
+        self.raw_texts = {}  # Bytes that replace a text of this content in responses.
         self.refused_kinds = set()  # Calls for objects of these kinds are answered with 503.
         self.open_calls = {}  # the latest request of each open connection by its writer
 
@@ -231,7 +232,10 @@
             await asyncio.sleep(3600)  # Connections of the older era return nothing further.
         if self.response_delay:
             await asyncio.sleep(self.response_delay(request))
-        writer.write(response_bytes(status, body, [("Store-Era", era)]))
+        sent_body = json.dumps(body).encode()
+        for text, raw in self.raw_texts.items():
+            sent_body = sent_body.replace(json.dumps(text).encode(), raw)
+        writer.write(response_bytes(status, sent_body, [("Store-Era", era)]))
         await writer.drain()
         return True
 
