Send a request again on a connection that hasn't carried it

What callers elsewhere saw: 'not run, try again' for a request that a server had run. Cause: answers are matched by the request's id. A request that a server refused was sent again on the kept connection when the server was listed under another name at the same address, as after a restart; a copy of the refusal there passed for the answer. Streams already left the connection of a refusal, plain calls and prefills did not. Class: an identity that is unique for each request, not for each attempt. Change: a connection remembers the id it carried, and isn't taken for that request again.

--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -16,10 +16,10 @@
 constexpr auto release_timeout = 500ms;
 
 /// Takes a connection to an address from the pool, or opens one; null when that fails.
-task<std::shared_ptr<upstream_connection>> connect(entry_state& state,
-                                                   std::string address)
+task<std::shared_ptr<upstream_connection>>
+connect(entry_state& state, std::string address, std::string request_id = {})
 {
-    auto link = state.pool.take(address);
+    auto link = state.pool.take(address, request_id);
     if (!link)
     {
         link = co_await state.pool.open(address);
@@ -80,7 +80,7 @@
     {
         co_return answer;
     }
-    const auto link = co_await connect(state, server.address);
+    const auto link = co_await connect(state, server.address, request_id);
     if (!link)
     {
         co_return answer;
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -279,7 +279,7 @@
             co_return this->report_without_attempt();
         }
         const std::string& address = place.chosen_server().address;
-        auto link = this->state->pool.take(address);
+        auto link = this->state->pool.take(address, this->scope->metadata.id);
         if (!link)
         {
             link = co_await this->state->pool.open(address);
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -339,7 +339,7 @@
     task<attempt_result> send_and_read(const backend_server& server)
     {
         attempt_result outcome;
-        auto link = this->state->pool.take(server.address);
+        auto link = this->state->pool.take(server.address, this->scope->metadata.id);
         if (!link)
         {
             link = co_await this->state->pool.open(server.address);
--- a/src/gateway/server_replies.cpp
+++ b/src/gateway/server_replies.cpp
@@ -88,6 +88,7 @@
                                  upstream_connection& link, std::string request_id,
                                  time_point deadline)
 {
+    link.set_request_id(request_id);
     const auto match_reply =
         make_reply_filter(*state.dialect, link, std::move(request_id));
     co_return co_await link.read_head(
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -444,7 +444,8 @@
 {
 }
 
-std::shared_ptr<upstream_connection> upstream_pool::take(const std::string& address)
+std::shared_ptr<upstream_connection> upstream_pool::take(const std::string& address,
+                                                         std::string_view request_id)
 {
     auto& connections = this->idle[address];
     const time_point now = boot_now();
@@ -452,8 +453,10 @@
     {
         auto connection = connections.back();
         connections.pop_back();
+        const bool has_carried_request =
+            !request_id.empty() && connection->request_id() == request_id;
         if (now - connection->idle_since < connection->idle_timeout &&
-            connection->alive())
+            !has_carried_request && connection->alive())
         {
             return connection;
         }
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -119,6 +119,14 @@
     /// \brief Returns when the current request was sent.
     [[nodiscard]] time_point sent_at() const noexcept { return this->request_sent_at; }
 
+    /// \brief Sets the id of the request that the connection carries.
+    void set_request_id(std::string id) { this->carried_request = std::move(id); }
+    /// \brief Returns the id of the latest request; empty if it has none.
+    [[nodiscard]] const std::string& request_id() const noexcept
+    {
+        return this->carried_request;
+    }
+
     /// \brief Returns how many bytes have arrived since the current request was sent.
     [[nodiscard]] std::size_t received_bytes() const noexcept
     {
@@ -145,6 +153,7 @@
     std::string peer;
     tcp_socket socket;
     std::string input;
+    std::string carried_request;      ///< The id of the latest one.
     std::size_t incomplete_bytes = 0; ///< Of `input`, which need more to be parsed.
     std::unique_ptr<response_parser> parser;
     std::uint64_t responses_read = 0; ///< Without interim ones.
@@ -181,8 +190,12 @@
     upstream_pool(event_loop& io_loop, upstream_options initial_options);
 
     /// \brief Takes the idle connection of an address that was used last and is alive.
+    /// \param request_id a request that may have been sent on a connection before: a
+    /// server may repeat its earlier answer there, which would pass for the new one. Such
+    /// a connection is closed.
     /// \returns null without one.
-    [[nodiscard]] std::shared_ptr<upstream_connection> take(const std::string& address);
+    [[nodiscard]] std::shared_ptr<upstream_connection>
+    take(const std::string& address, std::string_view request_id = {});
 
     /// \brief Opens a new connection within the connect time-out, and within `max_time`
     /// if that is shorter.
--- /dev/null
+++ b/tests/site/broken_stream_test.py
@@ -0,0 +1,89 @@
+"""Tests that a caller whose stream broke off gets no bytes of the failure that follows it."""
+
+import os
+import sys
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import run  # noqa: E402
+from path_test import check, start_site  # noqa: E402
+from platform_site import EVENT, reset_connection, response_bytes  # noqa: E402
+
+ERROR = b"upstream failed\n\nno worker\r\n\r\nid: 9\ndata: not an event of this stream\n\n"
+EVENT_STREAM = ("Content-Type", "text/event-stream")
+
+
+def error_answers(replica, request):
+    """Returns answers of a failing server by what is odd about them."""
+    signed = replica.identity_headers(request)
+    ids = replica.id_headers(request)
+    chunk = b"%x\r\n%s\r\n" % (len(ERROR), ERROR)
+    chunked = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+               + "".join(f"{name}: {value}\r\n" for name, value in signed) + "\r\n").encode()
+    return {
+        "a signed 500": response_bytes(500, ERROR, signed),
+        "an unsigned 500": response_bytes(500, ERROR, ids),
+        "an unsigned 200": response_bytes(200, ERROR, ids + [EVENT_STREAM]),
+        "a signed 503": response_bytes(503, ERROR, signed),
+        "a refusal": replica.refusal(request),
+        "a signed 404": response_bytes(404, ERROR, signed),
+        "a signed 302": response_bytes(302, ERROR, signed + [EVENT_STREAM]),
+        "a signed 206": response_bytes(206, ERROR, signed + [EVENT_STREAM]),
+        "a signed 204": response_bytes(204, b"", signed + [EVENT_STREAM]),
+        "a 200 that is no stream": response_bytes(200, ERROR, signed),
+        "a 200 of another type": response_bytes(200, ERROR,
+                                                signed + [("Content-Type", "text/plain")]),
+        "chunks that are no stream": chunked + chunk + b"0\r\n\r\n",
+        "an empty 200 that is no stream": response_bytes(200, b"", signed),
+        "no answer in the protocol": ERROR,
+    }
+
+
+def break_then_fail(kind):
+    """Makes a server that breaks a stream off after two events and fails those that go on."""
+    async def handle(replica, request, _reader, writer):
+        if request.target.startswith("/v1/") or request.header("Agateseam-Stage"):
+            return None
+        if "last-event-id" in request.headers:
+            writer.write(error_answers(replica, request)[kind])
+            return True
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked"]
+        head += [f"{name}: {value}" for name, value in replica.identity_headers(request)]
+        events = b"".join((EVENT % (number, f"{request.id}.{number}")).encode()
+                          for number in (1, 2)) + b"id: 3\ndata: ha"
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode()
+                     + b"%x\r\n%s\r\n" % (len(events), events))
+        await writer.drain()
+        reset_connection(writer)
+        return False
+    return handle
+
+
+def test_no_byte_of_a_failure_reaches_a_stream_that_has_begun(build, directory):
+    """Guards against the text or the head of an error in the middle of a stream, and a stream
+    that ends as if it were complete."""
+    with start_site(build, directory) as site:
+        wrong = {}
+        for kind in error_answers(site.replicas[0], NO_REQUEST):
+            for replica in site.replicas_of("model", "decode"):
+                replica.handler = break_then_fail(kind)
+            request_id = "broken" + "".join(letter for letter in kind if letter.isalnum())
+            answer = site.request_stream("/resume/a", Agateseam_Request_Id=request_id)
+            expected = b"".join((EVENT % (number, f"{request_id}.{number}")).encode()
+                                for number in (1, 2))
+            if answer.complete or answer.status != 200 or answer.body not in (expected, b""):
+                wrong[kind] = (answer.status, answer.complete, answer.body)
+        check(not wrong, wrong)
+
+
+class NoRequest:  # pylint: disable=too-few-public-methods
+    """Stands for a request when only the kinds of answers are wanted."""
+
+    id = "none"
+
+
+NO_REQUEST = NoRequest()
+
+
+if __name__ == "__main__":
+    sys.exit(run.main(globals()))
--- a/tests/site/promise_test.py
+++ b/tests/site/promise_test.py
@@ -6,7 +6,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import run  # noqa: E402
 from path_test import check, start_site  # noqa: E402
-from platform_site import reset_connection, response_bytes  # noqa: E402
+from platform_site import reset_connection, response_bytes, wait_for  # noqa: E402
 
 # Callers take these statuses to mean that the request has not run and never will.
 PROMISES = (408, 421, 429, 503)
@@ -171,5 +171,48 @@
         check_promises(site, answered)
 
 
+def repeat_refusal(sent_before):
+    """Makes a server that, given a request again on a connection, repeats its earlier refusal
+    there and runs the request."""
+    async def handle(replica, request, _reader, writer):
+        if request.target.startswith("/v1/"):
+            return None
+        earlier = sent_before.get((id(writer), request.id))
+        if earlier:
+            sent_before["repeated"] = earlier
+            writer.write(earlier)
+        if request.header("Agateseam-Expect-Instance") != replica.id:
+            refusal = response_bytes(421, {}, [("Agateseam-Not-Executed", "1")]
+                                     + replica.id_headers(request))
+            sent_before[(id(writer), request.id)] = refusal
+            writer.write(refusal)
+            return True
+        return None
+    return handle
+
+
+def list_under_two_names(site, replica):
+    """Lists a server under its former name as well, as happens after a restart."""
+    site.run_on_loop(site.store.put, "servers", "i-former-" + replica.id, replica.server_spec())
+
+
+def test_a_repeated_refusal_of_a_former_incarnation_isnt_the_present_ones(build, directory):
+    """Guards against a request that is sent again on the connection of its refusal, to the server
+    that is listed under another name at the same address."""
+    with start_site(build, directory) as site:
+        sent_before = {}
+        present, other = site.replicas_of("plain")
+        site.run_on_loop(site.store.remove, "servers", other.id)
+        list_under_two_names(site, present)
+        present.handler = repeat_refusal(sent_before)
+        wait_for(lambda: site.entries[0].log_lines("backend server changed")
+                 and site.entries[0].log_lines("backend server gone"), "the former name")
+        answered = {f"once-{number}": site.post("/once/a", Agateseam_Request_Id=f"once-{number}")
+                    for number in range(20)}
+        check(sent_before)
+        check_promises(site, answered)
+        check("repeated" not in sent_before)
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
