--- a/include/agateseam/document_codec.hpp
+++ b/include/agateseam/document_codec.hpp
@@ -16,8 +16,9 @@
 [[nodiscard]] std::uint64_t document_hash(std::string_view document) noexcept;
 
 /// \brief Compresses a text as one Zstandard frame.
-/// \param base a text that the reader has; parts that stand in it cost a few bytes. May
-/// be empty. \returns `internal` when there is not enough memory.
+/// \param base a text that the reader has, or empty; parts that stand in it cost a few
+/// bytes.
+/// \returns `internal` when there is not enough memory.
 [[nodiscard]] result<std::string> compress_document(std::string_view text,
                                                     std::string_view base = {});
 
