--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,25 +11,44 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 from common import TROUBLE, DeployedEntry, platform_site, route, run_case, wait_for  # noqa: E402
 
-REQUESTS = 8
+REPLICAS = 4  # of which one crashes: the site's largest share, 0.25
+REQUESTS = 16
 BODY = b"b" * 1_000_000
 ANSWER_BYTES = 2048
 
 
+class Process:
+    """A replica's process, and the requests that it began to answer."""
+
+    def __init__(self, number, record):
+        self.id = f"i-early{number}"
+        self.program = subprocess.Popen([sys.executable, os.path.join(FOLDER, "replica.py"),
+                                         self.id], stdout=subprocess.PIPE, text=True)
+        self.address = f"127.0.0.1:{int(self.program.stdout.readline())}"
+        self.began = []
+        self.record = record
+        threading.Thread(target=self.read_lines, daemon=True).start()
+
+    def read_lines(self):
+        for line in self.program.stdout:
+            self.record(f"{self.id}: {line.strip()}")
+            if line.startswith("ran "):
+                self.began.append(line.split()[1].rstrip(":"))
+
+
 def case(site, record):
-    program = subprocess.Popen([sys.executable, os.path.join(FOLDER, "replica.py"), "i-early"],
-                               stdout=subprocess.PIPE, text=True)
+    replicas = [Process(number, record) for number in range(REPLICAS)]
     try:
-        address = f"127.0.0.1:{int(program.stdout.readline())}"
         site.configure(1, routes=[route("/book/", "unsafe", "desk", max_attempts=1,
                                         timeout_ms=8000, target_latency_ms=300)],
                        services=[{"name": "desk"}],
                        limits={"max_header_bytes": 16384, "max_body_bytes": 4_194_304,
                                "header_timeout_ms": 2000, "idle_timeout_ms": 10000})
-        site.run_on_loop(site.store.put, "servers", "i-early",
-                         {"service": "desk", "address": address, "zone": "zone-a",
-                          "version": "v1", "slots": 8, "state": "ready", "sequence": 1,
-                          "cold_remaining_ms": 0, "born": int(time.time() * 1000)})
+        for replica in replicas:
+            site.run_on_loop(site.store.put, "servers", replica.id,
+                             {"service": "desk", "address": replica.address, "zone": "zone-a",
+                              "version": "v1", "slots": 8, "state": "ready", "sequence": 1,
+                              "cold_remaining_ms": 0, "born": int(time.time() * 1000)})
         entry = DeployedEntry(site, 0)
         site.entries.append(entry)
         wait_for(entry.is_ready, "the entry to be ready")
@@ -48,14 +67,16 @@
         threads = [threading.Thread(target=send) for _ in range(REQUESTS)]
         for thread in threads:
             thread.start()
-        for _ in range(REQUESTS):
-            record("replica: " + program.stdout.readline().strip())
+        wait_for(lambda: sum(len(replica.began) for replica in replicas) == REQUESTS,
+                 "the replicas to begin their answers")
         time.sleep(0.5)
-        if TROUBLE:
-            program.send_signal(signal.SIGKILL)
-            record("the replica crashed (SIGKILL)")
-        else:
-            program.send_signal(signal.SIGUSR1)
+        crashing = max(replicas, key=lambda replica: len(replica.began))
+        for replica in replicas:
+            if TROUBLE and replica is crashing:
+                replica.program.send_signal(signal.SIGKILL)
+                record(f"{replica.id} crashed (SIGKILL) with {len(replica.began)} answers begun")
+            else:
+                replica.program.send_signal(signal.SIGUSR1)
         for thread in threads:
             thread.join()
         wrong = 0
@@ -72,8 +93,9 @@
         record(f"{wrong} of {REQUESTS} successes with a body that isn't the replica's whole body")
         return wrong > 0
     finally:
-        program.kill()
-        program.wait()
+        for replica in replicas:
+            replica.program.kill()
+            replica.program.wait()
 
 
 sys.exit(run_case(FOLDER, case))
