Take a reset during the request for the break that it is

Cause: a socket reports a reset once. The pending write of the request took it, and the read after it saw an orderly end, which ends an answer without a length.

Change: such an end counts only if the whole request was received by the server's host: no write is pending or failed, and nothing is unacknowledged. The latter covers requests that fit into the socket's buffer.

--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -4,7 +4,9 @@
 #include <charconv>
 #include <limits>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
@@ -225,7 +227,7 @@
         co_return io_outcome::timed_out;
     }
     if (fault == asio::error::eof && this->parser && this->parser->is_header_done() &&
-        this->parser->need_eof())
+        this->parser->need_eof() && this->is_request_received())
     {
         boost::beast::error_code end_error;
         this->parser->put_eof(end_error);
@@ -242,6 +244,19 @@
     co_return io_outcome::good;
 }
 
+/// Tells whether the server's host has received the whole request.
+///
+/// Otherwise the end of a connection may be that of one which was reset: the write of the
+/// request may have taken the error, which is reported only once, and the reset that
+/// answers the rest of the request may not have arrived.
+bool upstream_connection::is_request_received()
+{
+    int unacknowledged_bytes = 0;
+    return !this->writing &&
+           ::ioctl(this->socket.native_handle(), SIOCOUTQ, &unacknowledged_bytes) == 0 &&
+           unacknowledged_bytes == 0;
+}
+
 task<io_outcome> upstream_connection::read_head(
     time_point deadline, const std::function<response_match(const message_head&)>& match)
 {
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -138,6 +138,7 @@
 
   private:
     task<io_outcome> read_more(time_point deadline);
+    [[nodiscard]] bool is_request_received();
     [[nodiscard]] bool has_parsable_input() const noexcept
     {
         return this->input.size() > this->incomplete_bytes;
