Drop a server that was kept after an outage on time

Cause: a server whose record is missing after an outage is kept for 1.8 s, and what had expired was looked for every 250 ms. Ruled out: publishing the list, which takes under 10 ms.

Change: the entry wakes when the next server is to be dropped or released.

--- a/include/agateseam/backend_directory.hpp
+++ b/include/agateseam/backend_directory.hpp
@@ -100,6 +100,10 @@
     /// \returns whether any server was dropped or released.
     bool expire(time_point now);
 
+    /// \brief Returns when `expire` next has a server to drop or release, or the latest
+    /// time if it has none.
+    [[nodiscard]] time_point next_expiry() const;
+
     /// \brief Returns the servers that are neither leaving nor withheld, by service.
     [[nodiscard]] std::shared_ptr<const backends_by_service> usable() const;
 
--- a/src/core/backend_directory.cpp
+++ b/src/core/backend_directory.cpp
@@ -1,5 +1,6 @@
 #include <agateseam/backend_directory.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace agateseam
@@ -147,6 +148,19 @@
     return changed;
 }
 
+time_point backend_directory::next_expiry() const
+{
+    time_point next = time_point::max();
+    for (const auto& [id, record] : this->records)
+    {
+        for (const time_point until : {record.kept_until, record.withheld_until})
+        {
+            next = until == time_point{} ? next : std::min(next, until);
+        }
+    }
+    return next;
+}
+
 std::shared_ptr<const backends_by_service> backend_directory::usable() const
 {
     auto list = std::make_shared<backends_by_service>();
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -1,5 +1,6 @@
 #include <gateway/entry_service.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -25,6 +26,7 @@
 
 constexpr int status_ok = 200;
 constexpr auto cleanup_interval = 250ms;
+constexpr auto min_cleanup_pause = 1ms;
 /// A fraction of the interval in which the pace of a returning server changes.
 constexpr auto pace_update_interval = 50ms;
 constexpr auto settings_poll_interval =
@@ -482,7 +484,13 @@
     {
         for (;;)
         {
-            co_await pause_for(this->loop, cleanup_interval);
+            // A server is kept for nearly as long as requests may reach one that is gone,
+            // so it is dropped on time rather than at the end of the interval.
+            const duration until_expiry =
+                this->state.directory.next_expiry() - boot_now();
+            co_await pause_for(
+                this->loop,
+                std::clamp<duration>(until_expiry, min_cleanup_pause, cleanup_interval));
             this->state.pool.close_expired();
             if (this->state.directory.expire(boot_now()))
             {
--- a/tests/unit/backend_directory_test.cpp
+++ b/tests/unit/backend_directory_test.cpp
@@ -62,6 +62,23 @@
     CHECK(usable_count(directory) == 1);
 }
 
+TEST_CASE("the next expiry is that of the first server kept or withheld")
+{
+    backend_directory directory;
+    directory.replace({make_server("a"), make_server("b")}, false, start);
+    CHECK(directory.next_expiry() == time_point::max());
+    directory.remove("a", true, start + 1s);
+    directory.remove("b", true, start + 2s);
+    CHECK(directory.next_expiry() == start + 1s + backend_directory::outage_grace);
+    CHECK(directory.expire(directory.next_expiry()));
+    CHECK(directory.next_expiry() == start + 2s + backend_directory::outage_grace);
+    directory.put(make_server("b"));
+    CHECK(directory.next_expiry() == time_point::max());
+    directory.remove("b", false, start + 3s);
+    directory.replace({make_server("b")}, true, start + 4s);
+    CHECK(directory.next_expiry() == start + 4s + backend_directory::outage_grace);
+}
+
 TEST_CASE("a server that came back within the grace period is not dropped later")
 {
     backend_directory directory;
