Charge what an entry spent while it was unreachable

Cause, one class: a part of a divided fleet that gives up nothing. A copy of the allowance reduced its level and refill for unreachable entries only when a request came, so an idle one stayed full. And what an entry spent unreachable was never charged, although a partition is noticed only after 0.7 s, with each cut anew. Ruled out: restarts, and digests that cross the end of the cut.

Change: all copies follow the partition with each digest; an entry that returns in the same incarnation has its spending charged, less what this copy passed up for it.

--- a/include/agateseam/fleet_bucket.hpp
+++ b/include/agateseam/fleet_bucket.hpp
@@ -44,6 +44,10 @@
 /// more than that part. So the parts of a partitioned fleet never add up to more than the
 /// whole limit.
 ///
+/// An entry that was unreachable tells on its return what it spent meanwhile. That is
+/// charged as far as it is more than what this copy passed up for it: entries notice a
+/// partition late, and until then each part spends as the whole.
+///
 /// A new copy starts at `initial_level`, its part of a configured reserve, because the
 /// entry's previous process may have emptied the bucket. It is raised to the level of
 /// another entry as soon as that level is known.
@@ -58,6 +62,10 @@
     /// \brief Sets the fraction of the limits that this copy may use from now on.
     void set_view(fleet_view view, time_point now);
 
+    /// \brief Sets the fraction and, in a partitioned fleet, gives up what is above this
+    /// part's share of the capacity.
+    void limit_to(fleet_view view, time_point now);
+
     /// \brief Takes `amount` if the level suffices.
     /// \returns whether it was taken.
     [[nodiscard]] bool try_take(double amount, fleet_view view, time_point now);
@@ -71,6 +79,10 @@
     /// \brief Charges an amount that another entry spent.
     void charge_peer_spending(double amount, time_point now);
 
+    /// \brief Charges an amount that another entry spent while it was unreachable, less
+    /// what this copy passed up meanwhile.
+    void charge_unseen_spending(double amount, time_point now);
+
     /// \brief Raises the level of a new copy to that of another entry's copy.
     void raise_to(double peer_level, time_point now);
 
@@ -93,6 +105,8 @@
     double current_level; ///< As of `refilled_at`; below 0 after overspending.
     double net_spending = 0;
     double refill_fraction = 1; ///< Fraction of the limits that this copy may use.
+    /// Passed up for unreachable entries since the fleet was last whole.
+    double withheld = 0;
     time_point refilled_at;
 };
 
--- a/include/agateseam/fleet_ledger.hpp
+++ b/include/agateseam/fleet_ledger.hpp
@@ -171,6 +171,9 @@
         bool has_all_buckets = false;
         /// Whether its levels are taken, as this process is new and the peer's isn't.
         bool raises_levels = false;
+        /// Whether its next reports include what it spent while it was unreachable. Only
+        /// a complete digest has the report of each bucket.
+        bool has_unseen_spending = false;
         bool is_counted = false; ///< Its claims are part of `claim_sums`.
     };
     using bucket_map = keyed_map<fleet_bucket>;
--- a/src/core/fleet_bucket.cpp
+++ b/src/core/fleet_bucket.cpp
@@ -32,16 +32,29 @@
 
 void fleet_bucket::set_view(fleet_view view, time_point now)
 {
-    this->refill_fraction = view.reachable_fraction();
+    const double fraction = view.reachable_fraction();
+    if (fraction < 1 && this->refill_fraction >= 1)
+    {
+        this->withheld = 0;
+    }
+    this->refill_fraction = fraction;
     this->refill(now);
 }
 
-bool fleet_bucket::try_take(double amount, fleet_view view, time_point now)
+void fleet_bucket::limit_to(fleet_view view, time_point now)
 {
     this->set_view(view, now);
-    // In a partitioned fleet each side may also use only its part of the capacity.
-    this->current_level =
-        std::min(this->current_level, this->current_limits.burst * this->refill_fraction);
+    const double max_level = this->current_limits.burst * this->refill_fraction;
+    if (this->current_level > max_level)
+    {
+        this->withheld += this->current_level - max_level;
+        this->current_level = max_level;
+    }
+}
+
+bool fleet_bucket::try_take(double amount, fleet_view view, time_point now)
+{
+    this->limit_to(view, now);
     // An amount larger than the capacity is granted when the bucket is full.
     const double needed =
         std::min(amount, this->current_limits.burst * this->refill_fraction);
@@ -76,6 +89,14 @@
         std::min(this->current_level - amount, this->current_limits.burst);
 }
 
+void fleet_bucket::charge_unseen_spending(double amount, time_point now)
+{
+    this->refill(now);
+    const double charged = std::max(0.0, amount - this->withheld);
+    this->withheld = std::max(0.0, this->withheld - std::max(0.0, amount));
+    this->current_level -= charged;
+}
+
 void fleet_bucket::raise_to(double peer_level, time_point now)
 {
     this->refill(now);
@@ -114,12 +135,13 @@
     }
     const double elapsed = to_seconds(now - this->refilled_at);
     this->refilled_at = now;
+    const double whole_refill = elapsed * this->current_limits.refill_per_second;
+    this->withheld += whole_refill * (1 - this->refill_fraction);
     const double max_level = this->current_limits.burst * this->refill_fraction;
     if (this->current_level < max_level)
     {
-        const double refilled =
-            elapsed * this->current_limits.refill_per_second * this->refill_fraction;
-        this->current_level = std::min(max_level, this->current_level + refilled);
+        this->current_level = std::min(
+            max_level, this->current_level + whole_refill * this->refill_fraction);
     }
 }
 
--- a/src/core/fleet_ledger.cpp
+++ b/src/core/fleet_ledger.cpp
@@ -155,7 +155,12 @@
         const auto bucket = buckets.find(key);
         if (bucket != buckets.end())
         {
-            if (!is_first)
+            const double unseen = report.spent - (is_first ? 0.0 : known->second.spent);
+            if (other.has_unseen_spending && (!is_first || other.has_all_buckets))
+            {
+                bucket->second.charge_unseen_spending(unseen, now);
+            }
+            else if (!is_first)
             {
                 bucket->second.charge_peer_spending(report.spent - known->second.spent,
                                                     now);
@@ -191,10 +196,15 @@
             digest.age_ms < static_cast<std::uint64_t>(new_entry_age.count());
         const bool this_entry_is_new = now - this->started_at < new_entry_age;
         this->remove_claims(other);
-        other.state = {};
-        // Spending while it was unreachable isn't charged: the rate was reduced by its
-        // part. A new process has spent nothing before.
-        other.has_all_buckets = !same_incarnation && peer_is_new;
+        const entry_digest known = std::exchange(other.state, {});
+        if (same_incarnation)
+        {
+            other.state.allowances = known.allowances;
+            other.state.repeats = known.repeats;
+        }
+        other.has_unseen_spending = same_incarnation;
+        // A new process has spent nothing before.
+        other.has_all_buckets = same_incarnation ? other.has_all_buckets : peer_is_new;
         other.raises_levels = !same_incarnation && this_entry_is_new && !peer_is_new;
         ++this->first_heard_entries;
     }
@@ -205,6 +215,7 @@
     {
         other.has_all_buckets = true;
         other.raises_levels = false;
+        other.has_unseen_spending = false;
     }
     other.incarnation = digest.incarnation;
     other.sequence = digest.sequence;
@@ -304,13 +315,18 @@
     digest.age_ms = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(now - this->started_at)
             .count());
-    digest.known_entries = this->view(now).known_entries;
+    const fleet_view current = this->view(now);
+    digest.known_entries = current.known_entries;
+    // Also the buckets that nobody takes from here must give up what belongs to the
+    // unreachable entries, before these are back.
     for (auto& [key, bucket] : this->allowances)
     {
+        bucket.limit_to(current, now);
         digest.allowances[key] = {bucket.net_spent(), bucket.level(now)};
     }
     for (auto& [key, bucket] : this->repeats)
     {
+        bucket.limit_to(current, now);
         digest.repeats[key] = {bucket.net_spent(), bucket.level(now)};
     }
     return digest;
--- a/tests/unit/fleet_ledger_test.cpp
+++ b/tests/unit/fleet_ledger_test.cpp
@@ -196,6 +196,71 @@
     CHECK(fleet.max_tokens_in_window <= allowed_tokens_in_window());
 }
 
+// Guards against the full bucket of an entry that nobody asked while it was cut off: it
+// was spent once more after the others had spent theirs.
+TEST_CASE("a full bucket is spent once when an idle entry was cut off for a moment")
+{
+    for (const int cut_steps : {40, 50, 75, 150})
+    {
+        simulated_fleet fleet;
+        constexpr std::size_t cut_entry = entry_count - 1;
+        for (int step = 0; step < 900; ++step)
+        {
+            fleet.advance();
+            const int since_cut = step - 300; // after 6 s, when the buckets are full
+            fleet.partition[cut_entry] = since_cut >= 0 && since_cut < cut_steps ? 1 : 0;
+            const std::size_t entry = since_cut < cut_steps + 25
+                                          ? static_cast<std::size_t>(step) % cut_entry
+                                          : cut_entry;
+            for (int request = 0; since_cut >= 0 && request < 8; ++request)
+            {
+                (void)fleet.take(entry, 20);
+            }
+        }
+        CHECK(fleet.max_tokens_in_window <= allowed_tokens_in_window());
+    }
+}
+
+// Guards against an overspending that begins anew with each of several partitions.
+TEST_CASE("a window holds its allowance while partitions come and go")
+{
+    simulated_fleet fleet;
+    for (int step = 0; step < 1'200; ++step)
+    {
+        fleet.advance();
+        const int since_hot = step - 300;
+        const bool is_cut = since_hot >= 0 && since_hot % 80 < 40;
+        fleet.partition = is_cut ? std::array<int, entry_count>{0, 0, 0, 1, 2}
+                                 : std::array<int, entry_count>{};
+        for (std::size_t entry = 0; since_hot >= 0 && entry < entry_count; ++entry)
+        {
+            (void)fleet.take(entry, 20);
+            (void)fleet.take(entry, 20);
+        }
+    }
+    CHECK(fleet.max_tokens_in_window <= allowed_tokens_in_window());
+}
+
+// Guards against an entry that is made to pay for what others were entitled to spend
+// while they were unreachable.
+TEST_CASE("the rate is available again soon after a partition")
+{
+    simulated_fleet fleet;
+    double spent_after = 0;
+    for (int step = 0; step < 1'300; ++step)
+    {
+        fleet.advance();
+        fleet.partition[0] = step >= 300 && step < 900 ? 1 : 0;
+        for (std::size_t entry = 0; entry < entry_count; ++entry)
+        {
+            const bool is_taken = fleet.take(entry, 20);
+            spent_after += is_taken && step >= 950 ? 20 : 0;
+        }
+    }
+    // Within the 7 s from a second after the partition on.
+    CHECK(spent_after >= 0.95 * rate * 7);
+}
+
 TEST_CASE("entries that are all cut off from each other do not exceed the allowance")
 {
     simulated_fleet fleet;
