--- a/tests/site/gone_server_test.py
+++ b/tests/site/gone_server_test.py
@@ -14,6 +14,9 @@
 REMOVED = 8
 AWAY_S = 1.2  # Long enough for records to lapse.
 DRAIN_S = 2.0  # Requests may reach a removed server for this long.
+SETTLE_S = 2.0  # After this time, a record that is missing after an outage is gone.
+# A fraction of `SETTLE_S`: a server that is gone is dropped as soon as that is known.
+PROMPT_S = 0.5
 
 
 def start_site_on_address(build, directory, entries):
@@ -26,6 +29,7 @@
     to_store = site.add_store_address()
     site.entries.append(Entry(site, entries - 1, store=to_store.address))
     wait_for(site.entries[-1].is_ready, "the last entry to be ready")
+    wait_for(lambda: len(site.entries[-1].log_lines("entry heard")) == entries - 1, "the others")
     return site, to_store
 
 
@@ -68,5 +72,20 @@
         check(last <= DRAIN_S, last)
 
 
+def test_an_outage_ends_when_a_relay_answers(build, directory):
+    """Guards against an outage that lasts until the entry's own next call of the store, although
+    it follows the store through another entry meanwhile."""
+    site, to_store = start_site_on_address(build, directory, 2)
+    with site, Load(site, calls=[lambda site: site.get("/safe/a", entry=1)], pause_s=0.002):
+        away = site.entries[1]
+        before = reached_count(away)
+        turn_away(site, to_store)
+        served_since = time.monotonic()
+        wait_for(lambda: reached_count(away) > before, "the store", 8)
+        time.sleep(max(0.0, served_since + SETTLE_S - time.monotonic()))
+        last = remove_servers(site)
+        check(last <= PROMPT_S, last, away.log_lines("backend server gone")[:1])
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
