Confirm the list of servers before it tells what began a stream

Callers saw, in a report of other operators: streams that had begun at a new version of the servers, broke, and went on at another version, at an entry that was cut off or stood still while the new version joined (ORDER).

Cause: where no entry knows what began a stream, the list of servers decides, if it had one version all the time. An entry that is out of step doesn't know yet that its list is out of date. Ruled out: the origins that entries tell each other; in the test, no answer about one can arrive in time.

Change: the store is first asked, by a watch that is answered at once, whether it has changes that the list lacks. Without its answer within 250 ms the caller is told 503, not run.

--- a/fakes/site_links.py
+++ b/fakes/site_links.py
@@ -10,7 +10,8 @@
     """Forwards connections to an address at a limited rate, shared by all of them.
 
     Only what the target sends is limited, as that is what documents travel by. Datagrams pass at
-    once; `peer_links` gives the link that stands for a datagram's sender.
+    once; `peer_links` gives the link that stands for a datagram's sender. While a link `is_cut`,
+    its connections are silent and datagrams are lost.
     """
 
     def __init__(self, target, bytes_per_s, peer_links=None):
@@ -20,6 +21,7 @@
         self.peer_links = peer_links
         self.address, self.datagrams = None, None
         self.bytes_sent, self.connection_count = 0, 0
+        self.is_cut = False
         self.free_at = 0.0  # When the link will have sent what it was given.
 
     async def start(self, port=0):
@@ -56,6 +58,8 @@
                                     + len(chunk) / self.bytes_per_s)
                     await asyncio.sleep(self.free_at - time.monotonic())
                     self.bytes_sent += len(chunk)
+                while self.is_cut:
+                    await asyncio.sleep(0.01)
                 writer.write(chunk)
                 await writer.drain()
         except (ConnectionError, OSError):
@@ -70,5 +74,5 @@
 
     def datagram_received(self, data, addr):
         sender = self.link.peer_links.get(f"{addr[0]}:{addr[1]}")
-        if sender is not None:
+        if sender is not None and not sender.is_cut and not self.link.is_cut:
             sender.datagrams.sendto(data, (self.link.host, self.link.port))
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -40,6 +40,8 @@
 /// New servers are published together after this delay, which is small beside the seconds
 /// for which a server lives.
 constexpr auto publish_delay = 10ms;
+/// The store usually answers within a few milliseconds.
+constexpr auto confirm_servers_timeout = 250ms;
 /// Time until another entry's answer begins, and the longest pause in it.
 constexpr auto peer_call_timeout = 1'000ms;
 constexpr auto max_peer_transfer_time = 15'000ms;
@@ -72,6 +74,7 @@
         process_buffer_budget().set_limit(std::max(
             settings.memory_bytes / response_memory_divisor, min_response_memory));
         this->keeper = std::make_unique<quarantine_keeper>(this->state, *this->link);
+        this->state.confirm_servers = [this] { return this->confirm_servers(); };
     }
 
     result<void> open_listeners()
@@ -310,6 +313,17 @@
         return {};
     }
 
+    task<bool> confirm_servers()
+    {
+        const bool are_confirmed =
+            co_await this->link->confirm_servers(confirm_servers_timeout);
+        if (are_confirmed && this->publication_scheduled)
+        {
+            this->state.publish_servers();
+        }
+        co_return are_confirmed;
+    }
+
     /// Publishes new servers together, since each publication goes over all servers.
     /// Servers that leave are published at once.
     void schedule_publication()
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -167,6 +167,8 @@
     /// Returns the version that began a stream, if this entry or those that should know
     /// it do.
     std::function<task<std::optional<name_key>>(name_key stream)> find_stream_origin;
+    /// Tells whether the published servers are those that the platform's store has now.
+    std::function<task<bool>()> confirm_servers;
     upstream_pool pool;
     entry_counters counters;
     usage_account usage;
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -139,12 +139,12 @@
             this->stream = name_key(metadata.resumed_request);
             this->version = co_await this->state->find_stream_origin(this->stream);
         }
-        if (!this->version && this->state->store_reachable)
+        if (!this->version && this->only_version())
         {
-            this->version = this->state->versions.only_version(
-                this->scope->service,
-                std::max<duration>(stream_origins::memory, this->scope->route->timeout),
-                boot_now());
+            // An entry that is cut off, or stood still, doesn't know of a version that
+            // came meanwhile, and takes the one before for the only one.
+            const bool are_confirmed = co_await this->state->confirm_servers();
+            this->version = are_confirmed ? this->only_version() : std::nullopt;
         }
         if (this->version)
         {
@@ -153,6 +153,19 @@
         co_return this->version.has_value();
     }
 
+    /// Returns the version of all servers that may have begun the stream, as far as the
+    /// list here tells.
+    [[nodiscard]] std::optional<name_key> only_version() const
+    {
+        return this->state->store_reachable
+                   ? this->state->versions.only_version(
+                         this->scope->service,
+                         std::max<duration>(stream_origins::memory,
+                                            this->scope->route->timeout),
+                         boot_now())
+                   : std::nullopt;
+    }
+
     /// Binds the stream to the version of its first event's server, and tells other
     /// entries, who may have to go on with it.
     void record_version(const backend_server& server)
--- a/src/gateway/platform_link.hpp
+++ b/src/gateway/platform_link.hpp
@@ -97,6 +97,11 @@
     /// \brief Tells whether a new configuration is arriving from the store or an entry.
     [[nodiscard]] virtual bool is_receiving_configuration() const noexcept = 0;
 
+    /// \brief Asks the store whether the list of servers here is up to date.
+    /// \returns true if it lacks nothing that the store had accepted before the call;
+    /// false if the store doesn't say so in time.
+    virtual task<bool> confirm_servers(duration timeout) = 0;
+
     /// \brief Removes this entry from the platform's list.
     virtual task<void> deregister() = 0;
 
