--- a/tests/site/broken_stream_test.py
+++ b/tests/site/broken_stream_test.py
@@ -1,4 +1,5 @@
-"""Tests that a caller whose stream broke off gets no bytes of the failure that follows it."""
+"""Tests that a caller whose stream broke off gets no bytes of the failure that follows it, and that
+an answer whose head broke off isn't taken for one."""
 
 import os
 import sys
@@ -6,7 +7,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import run  # noqa: E402
 from path_test import check, start_site  # noqa: E402
-from platform_site import EVENT, Replica, response_bytes  # noqa: E402
+from platform_site import EVENT, Replica, reset_connection, response_bytes  # noqa: E402
 
 ERROR = b"upstream failed\n\nno worker\r\n\r\nid: 9\ndata: not an event of this stream\n\n"
 EVENT_STREAM = ("Content-Type", "text/event-stream")
@@ -35,6 +36,7 @@
         "chunks that are no stream": chunked + chunk + b"0\r\n\r\n",
         "an empty 200 that is no stream": response_bytes(200, b"", signed),
         "no answer in the protocol": ERROR,
+        "a head that breaks off": chunked[:-2],
     }
 
 
@@ -45,7 +47,7 @@
             return None
         if "last-event-id" in request.headers:
             writer.write(error_answers(replica, request)[kind])
-            return True
+            return not kind.endswith("breaks off")
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
                 "Transfer-Encoding: chunked"]
         head += [f"{name}: {value}" for name, value in replica.identity_headers(request)]
@@ -84,6 +86,44 @@
     check(not wrong, wrong)
 
 
+def break_head(is_reset, sent_share):
+    """Makes a server that breaks its answers off after a part of their head."""
+    async def handle(replica, request, _reader, writer):
+        if request.target.startswith("/v1/") or request.header("Agateseam-Stage"):
+            return None
+        head = response_bytes(200, b"body", replica.identity_headers(request) + [EVENT_STREAM])
+        head = head[:head.index(b"body")]
+        replica.runs.append(request.id)
+        writer.write(head[:int(len(head) * sent_share)])
+        await writer.drain()
+        if is_reset:
+            reset_connection(writer)
+        return False
+    return handle
+
+
+def test_an_answer_whose_head_breaks_off_is_none(build, directory):
+    """Guards against an empty or short body that passes for whole as its head broke off."""
+    calls = {"safe": lambda site, **headers: site.get("/safe/a", **headers),
+             "once": lambda site, **headers: site.post("/once/a", **headers),
+             "draft": lambda site, **headers: site.request_stream(**headers),
+             "resumable": lambda site, **headers: site.request_stream("/resume/a", **headers)}
+    with start_site(build, directory) as site:
+        wrong = []
+        for is_reset in (False, True):
+            for sent_share in (0.05, 0.2, 0.4, 0.6, 0.8, 0.99):
+                for replica in site.replicas:
+                    replica.handler = break_head(is_reset, sent_share)
+                for kind, call in calls.items():
+                    name = f"{kind}-{is_reset}-{sent_share}"
+                    status = call(site, Agateseam_Request_Id=name).status
+                    has_run = any(name in replica.runs for replica in site.replicas)
+                    if status not in ((502, 504) if has_run else (502, 503, 504)):
+                        wrong.append((name, status, has_run))
+        check(not wrong, wrong)
+        check(sum(len(replica.runs) for replica in site.replicas) > 24)
+
+
 class NoRequest:  # pylint: disable=too-few-public-methods
     """Stands for a request when only the kinds of answers are wanted."""
 
