--- a/fakes/site_callers.py
+++ b/fakes/site_callers.py
@@ -15,8 +15,9 @@
 class Outcome:
     """What became of one request, as its caller saw it. Times are of the monotonic clock."""
 
-    def __init__(self, request_id, path, entry, sent_at, is_reused):
+    def __init__(self, request_id, path, entry, sent_at, is_reused, deadline_ms):
         self.id, self.path, self.entry, self.sent_at = request_id, path, entry, sent_at
+        self.deadline_ms = deadline_ms
         self.is_reused = is_reused  # Sent on a connection that had served a request before.
         self.status, self.events, self.body = None, 0, b""
         self.complete = False
@@ -84,7 +85,8 @@
             if self.crashing_path and not tokens and self.random.random() < 0.2:
                 path = self.crashing_path
             request_id = f"c{next(Callers.id_numbers):08x}"
-            outcome = Outcome(request_id, path, entry, time.monotonic(), is_reused)
+            outcome = Outcome(request_id, path, entry, time.monotonic(), is_reused,
+                              self.deadline_ms)
             self.outcomes.append(outcome)
             try:
                 writer.write(self.request_bytes(request_id, path, tokens))
