Ask the list again before a request is sent to its server

Cause: the place is reserved before the prompt is read, which can take 2.4 s and more; accepts_work, which is asked before the request is sent, didn't ask the list. Ruled out: a late list, logged more than 2 s before.

Change: accepts_work also wants the server on the list and not leaving. The stream finds another place and keeps its prompt; plain calls, prefills and reservations ask the same.

Test: two of leaving_test; the stream ran at the server that had left before.

--- a/include/agateseam/backend_directory.hpp
+++ b/include/agateseam/backend_directory.hpp
@@ -95,6 +95,10 @@
     /// itself that it leaves.
     [[nodiscard]] bool said_leaving(const backend_server& server) const;
 
+    /// \brief Tells whether a server's id is known and its record doesn't say that it
+    /// leaves.
+    [[nodiscard]] bool may_serve(std::string_view id) const;
+
     /// \brief Drops servers that were kept for `outage_grace` and did not come back, and
     /// releases those that did and were withheld as long.
     /// \returns whether any server was dropped or released.
--- a/src/core/backend_directory.cpp
+++ b/src/core/backend_directory.cpp
@@ -116,6 +116,12 @@
     return found != this->leaving_words.end() && server.born_ms <= found->second.born_ms;
 }
 
+bool backend_directory::may_serve(std::string_view id) const
+{
+    const auto found = this->records.find(id);
+    return found != this->records.end() && !found->second.server->leaving;
+}
+
 bool backend_directory::expire(time_point now)
 {
     for (auto& [id, word] : this->leaving_words)
--- a/src/gateway/entry_state.cpp
+++ b/src/gateway/entry_state.cpp
@@ -45,7 +45,8 @@
 
 bool entry_state::accepts_work(const backend_server& server) const
 {
-    return !this->directory.said_leaving(server) && !this->is_evacuated(server) &&
+    return this->directory.may_serve(server.id) &&
+           !this->directory.said_leaving(server) && !this->is_evacuated(server) &&
            this->health.rest_left(server.id, boot_now()) <= duration::zero();
 }
 
--- a/src/gateway/entry_state.hpp
+++ b/src/gateway/entry_state.hpp
@@ -75,8 +75,9 @@
     [[nodiscard]] std::shared_ptr<const backend_server>
     server(const std::string& service, const std::string& id) const;
 
-    /// \brief Tells whether a server may be sent new work now: it hasn't said that it
-    /// leaves, doesn't rest and isn't evacuated.
+    /// \brief Tells whether a server may be sent new work now: it is listed, neither the
+    /// list nor the server says that it leaves, it doesn't rest and isn't evacuated. A
+    /// request may have chosen it long before, and waited for its prompt to be read.
     [[nodiscard]] bool accepts_work(const backend_server& server) const;
 
     /// \brief Tells whether evacuations of failure domains are followed here.
--- a/tests/site/leaving_test.py
+++ b/tests/site/leaving_test.py
@@ -207,6 +207,35 @@
         check(len(read) == 2, len(read))
 
 
+def check_place_after_list_change(build, directory, change):
+    with start_site_with_one_decode_replica(build, directory) as site:
+        prefill, first = site.replicas
+        stream, responses = start_stream_with_place(site)
+        wait_for(lambda: first.holds, "the reservation")
+        second = site.add_replica("model", stage="decode")
+        change(site, first)
+        stream.join()
+        check_complete_stream(responses[0])
+        check(not first.runs and len(second.runs) == 1, first.runs, second.runs)
+        wait_for(lambda: not first.holds, "the reservation to be released", 1)
+        read = [request for request in prefill.requests if request.method == "POST"]
+        check(len(read) == 1, len(read))
+
+
+def test_a_place_is_chosen_again_when_its_replica_is_listed_as_draining(build, directory):
+    """Guards against a stream that reaches a replica long after the list said that it leaves, as
+    its prompt was read meanwhile."""
+    check_place_after_list_change(build, directory,
+                                  lambda site, replica: site.publish_replica(replica, "draining"))
+
+
+def test_a_place_is_chosen_again_when_its_replica_is_removed_from_the_list(build, directory):
+    """Guards against the same when a replica leaves without announcing it."""
+    check_place_after_list_change(
+        build, directory,
+        lambda site, replica: site.run_on_loop(site.store.remove, "servers", replica.id))
+
+
 def test_a_place_is_chosen_again_when_its_replica_rests(build, directory):
     with start_site_with_one_decode_replica(build, directory) as site:
         prefill, first = site.replicas
