Wait for all entries' reports before blocking parts

Ruled out: trials (none was due), and blocks from the store (made in memory before).

Change: a crash counts when all reachable entries have been heard 150 ms after it, or after 900 ms.

--- a/include/agateseam/fleet_ledger.hpp
+++ b/include/agateseam/fleet_ledger.hpp
@@ -154,6 +154,9 @@
     [[nodiscard]] fleet_view view(time_point now) const;
     /// \brief Returns the names of the other reachable entries.
     [[nodiscard]] std::set<std::string> reachable_peers(time_point now) const;
+    /// \brief Returns the time since which all other reachable entries have been heard;
+    /// the present if there are none.
+    [[nodiscard]] time_point all_heard_since(time_point now) const;
     /// \brief Returns when the last digest of each other entry came, by entry name.
     [[nodiscard]] std::map<std::string, time_point> last_heard_times() const;
     /// \brief Returns the newest configuration version of the other reachable entries.
--- a/include/agateseam/part_quarantine.hpp
+++ b/include/agateseam/part_quarantine.hpp
@@ -113,8 +113,11 @@
     /// How much a crash counts after events of the answer had arrived, of one before, if
     /// no answers had begun on the part earlier: five such crashes are enough.
     static constexpr double weight_after_event = 0.6;
-    /// A crash counts when the other entries had time to report it too.
+    /// A crash counts when the other entries had this time to report it too, and all of
+    /// them have been heard after it.
     static constexpr std::chrono::milliseconds settle_time{150};
+    /// A crash counts after this time even if an entry hasn't been heard since.
+    static constexpr std::chrono::milliseconds max_settle_time{900};
     /// A new process blocks nothing by itself before this age, as it doesn't hear the
     /// others yet.
     static constexpr std::chrono::milliseconds min_process_age{1'000};
@@ -155,6 +158,17 @@
     {
     }
 
+    /// \brief Sets since when all reachable entries have been heard. Until that is well
+    /// after a crash, reports of it may be missing, and a part that the sound requests
+    /// share looks like the cause.
+    void set_heard_since(time_point heard) noexcept { this->heard_since = heard; }
+
+    /// \brief Tells whether there were crashes of which reports may be missing.
+    [[nodiscard]] bool has_recent_crashes() const noexcept
+    {
+        return this->is_unevaluated;
+    }
+
     /// \brief Records that a server ended before the answer to a request had begun.
     /// \param without_event whether nothing of the answer had arrived.
     void record_crash(const request_parts& parts, name_key server, bool without_event,
@@ -244,6 +258,7 @@
     [[nodiscard]] bool is_in_block(name_key part) const;
     /// Blocks what the settled evidence implicates.
     void evaluate(time_point now);
+    [[nodiscard]] bool is_settled(time_point reported_at, time_point now) const;
     [[nodiscard]] std::map<name_key, server_set> open_crashes(time_point now) const;
     /// \param is_of_parts leaves out the blocks of requests.
     [[nodiscard]] server_set explained_crashes(const std::map<name_key, server_set>& open,
@@ -291,6 +306,7 @@
     std::map<name_key, time_point> answered; ///< When answers began last, by part.
     bool is_unevaluated = false;
     time_point evaluate_at{};
+    time_point heard_since = time_point::max();
     time_point expire_at{};
 };
 
--- a/src/core/fleet_ledger.cpp
+++ b/src/core/fleet_ledger.cpp
@@ -460,6 +460,19 @@
     return names;
 }
 
+time_point fleet_ledger::all_heard_since(time_point now) const
+{
+    time_point since = now;
+    for (const auto& [key, other] : this->peers)
+    {
+        if (now - other.last_heard < this->peer_timeout())
+        {
+            since = std::min(since, other.last_heard);
+        }
+    }
+    return since;
+}
+
 std::map<std::string, time_point> fleet_ledger::last_heard_times() const
 {
     std::map<std::string, time_point> times;
--- a/src/core/part_quarantine_evaluation.cpp
+++ b/src/core/part_quarantine_evaluation.cpp
@@ -32,6 +32,14 @@
 
 } // namespace
 
+/// Tells whether all reports of a crash are there, or have had enough time.
+bool part_quarantine::is_settled(time_point reported_at, time_point now) const
+{
+    const duration age = now - reported_at;
+    return age >= max_settle_time ||
+           (age >= settle_time && this->heard_since >= reported_at + settle_time);
+}
+
 /// Returns the servers at which each part is implicated and not cleared.
 std::map<name_key, part_quarantine::server_set>
 part_quarantine::open_crashes(time_point now) const
@@ -56,7 +64,7 @@
     {
         const server_end& end = ends.at(key.second);
         const bool is_suspect = crash.without_event || !end.has_request_without_event;
-        if (!crash.cleared && is_suspect && now - end.reported_at >= settle_time)
+        if (!crash.cleared && is_suspect && this->is_settled(end.reported_at, now))
         {
             open[key.first].insert(key.second);
         }
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -339,6 +339,10 @@
         now);
     this->state->returning.apply(digest->entry, digest->incarnation, digest->returns,
                                  now);
+    if (this->state->quarantine.has_recent_crashes())
+    {
+        this->state->quarantine.set_heard_since(this->state->ledger.all_heard_since(now));
+    }
     // Passed on, as not all entries may reach the one that it comes from.
     if (this->state->quarantine.apply(digest->quarantine, now))
     {
--- a/tests/unit/part_quarantine_test.cpp
+++ b/tests/unit/part_quarantine_test.cpp
@@ -194,6 +194,46 @@
     CHECK(copy.blocked(std::vector{first_part, sound_part(2)}, now) == nullptr);
 }
 
+// Guards against a block of all requests that share a part with the crashing one, made as
+// a busy entry's reports of a crash came later than those of the sound requests.
+TEST_CASE("a shared part isn't blocked while reports of a crash are missing")
+{
+    const time_point start{1h};
+    part_quarantine late(start - 1min);
+    part_quarantine entry(start - 1min);
+    for (std::size_t crash = 0; crash < part_quarantine::min_crashes; ++crash)
+    {
+        const time_point now = start + crash * 2s;
+        entry.record_crash(prompt({first_part, sound_part(crash)}), server_name(crash),
+                           true, now);
+        late.record_crash(prompt({first_part, bad_part}), server_name(crash), true, now);
+        entry.set_heard_since(now - 100ms);
+        const std::vector<name_key> other{first_part, sound_part(9)};
+        CHECK(entry.blocked(other, now + 400ms) == nullptr);
+        (void)entry.apply(late.make_digest(std::nullopt, now + 400ms), now + 400ms);
+        entry.set_heard_since(now + 400ms);
+        CHECK(entry.blocked(other, now + 500ms) == nullptr);
+    }
+    const std::vector<name_key> bad{first_part, bad_part};
+    CHECK(entry.blocked(bad, start + 5s) != nullptr);
+}
+
+// The settled evidence must not wait for an entry that stays silent.
+TEST_CASE("a crash counts though an entry isn't heard")
+{
+    const time_point start{1h};
+    part_quarantine entry(start - 1min);
+    for (std::size_t crash = 0; crash < part_quarantine::min_crashes; ++crash)
+    {
+        entry.record_crash(prompt({bad_part}), server_name(crash), true,
+                           start + crash * 10ms);
+    }
+    entry.set_heard_since(start - 1s);
+    const std::vector<name_key> bad{bad_part};
+    CHECK(entry.blocked(bad, start + 500ms) == nullptr);
+    CHECK(entry.blocked(bad, start + 20ms + part_quarantine::max_settle_time) != nullptr);
+}
+
 TEST_CASE("a shared part isn't blocked when many servers end at once")
 {
     part_quarantine copy(time_point{});
