Refuse token counts whose sum overflows

Seen by the review beside its cases: two large counts add up to a negative cost, which raises the workspace's allowance (and is undefined behaviour). The check of platform_documents_test accepted such a request before.

--- a/tests/unit/platform_documents_test.cpp
+++ b/tests/unit/platform_documents_test.cpp
@@ -233,6 +233,11 @@
     CHECK(!dialect->read_request(head));
     head.fields[1].value = "-1,5";
     CHECK(!dialect->read_request(head));
+    // Their sum would overflow, and be a negative cost that raises the allowance.
+    head.fields[1].value = "9223372036854775807,9223372036854775807";
+    CHECK(!dialect->read_request(head));
+    head.fields[1].value = "5000,70";
+    CHECK(dialect->read_request(head));
 }
 
 TEST_CASE("all faults in an entry's settings are reported")
