Accept times in seconds with a fraction in an entry's settings

The template made milliseconds by appending zeros, and the windows were whole numbers. They are numbers now, and grace_s goes before grace_ms. The test of platform_documents_test was refused before ("must be a whole number").

--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include <gateway/gateway_settings.hpp>
 
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -17,12 +18,20 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t max_duration_ms = 86'400'000;
+constexpr double ms_per_s = 1'000;
+constexpr double min_window_s = 1;
+constexpr double max_window_s = 3'600;
 constexpr double max_tokens = 1e15;
 constexpr double max_memory_mb = 1e9;
 constexpr double max_link_mbps = 1e9;
 constexpr double default_memory_mb = 256;
 constexpr double bytes_per_mb = 1 << 20;
 
+milliseconds to_milliseconds(double seconds)
+{
+    return milliseconds(std::llround(seconds * ms_per_s));
+}
+
 std::string read_address(section_reader& section, std::string_view key, bool required)
 {
     std::string address =
@@ -67,12 +76,12 @@
     options.allowance_reserve_tokens =
         section.number("allowance_reserve_tokens", 0, max_tokens, 0.0);
     options.allowance_overage = section.number("allowance_overage", 0, 1, 0.0);
-    options.allowance_window =
-        milliseconds(section.integer("allowance_window_s", 1, 3'600, 8) * 1'000);
+    options.allowance_window = to_milliseconds(
+        section.number("allowance_window_s", min_window_s, max_window_s, 8));
     options.repeat_extra = section.number("repeat_extra", 0, max_tokens, 10.0);
     options.repeat_ratio = section.number("repeat_ratio", 0, 1, 0.1);
-    options.repeat_window =
-        milliseconds(section.integer("repeat_window_s", 1, 3'600, 10) * 1'000);
+    options.repeat_window = to_milliseconds(
+        section.number("repeat_window_s", min_window_s, max_window_s, 10));
 }
 
 log_level parse_log_level(std::string_view name) noexcept
@@ -106,8 +115,11 @@
         settings.peers = read_address(section, "peers", true);
         read_seeds(section, settings);
         settings.store = read_address(section, "store", true);
+        const std::int64_t grace_ms =
+            section.integer("grace_ms", 0, max_duration_ms, 8'000);
         settings.grace =
-            milliseconds(section.integer("grace_ms", 0, max_duration_ms, 8'000));
+            to_milliseconds(section.number("grace_s", 0, max_duration_ms / ms_per_s,
+                                           static_cast<double>(grace_ms) / ms_per_s));
         settings.usage_flush =
             std::chrono::seconds(section.integer("usage_flush_s", 1, 3'600, 60));
         settings.memory_bytes = static_cast<std::size_t>(
--- a/tests/unit/platform_documents_test.cpp
+++ b/tests/unit/platform_documents_test.cpp
@@ -240,6 +240,19 @@
     CHECK(dialect->read_request(head));
 }
 
+// Guards against an entry that doesn't start as a bound of its deployment has a fraction.
+TEST_CASE("times in seconds may have a fraction")
+{
+    const auto settings = gateway_settings::parse(
+        R"({"vm":"v","failure_domain":"a","callers":"127.0.0.1:1",
+        "readiness":"127.0.0.1:2","peers":"127.0.0.1:3","store":"127.0.0.1:4",
+        "grace_s":6.25,"fleet":{"allowance_window_s":8.0,"repeat_window_s":2.5}})");
+    REQUIRE(settings);
+    CHECK(settings->grace == std::chrono::milliseconds(6'250));
+    CHECK(settings->ledger.allowance_window == std::chrono::milliseconds(8'000));
+    CHECK(settings->ledger.repeat_window == std::chrono::milliseconds(2'500));
+}
+
 TEST_CASE("all faults in an entry's settings are reported")
 {
     const std::string valid_settings =
