--- a/include/agateseam/object_store.hpp
+++ b/include/agateseam/object_store.hpp
@@ -29,7 +29,7 @@
     std::string name;           ///< Unique; a replacement VM has another name.
     std::string address;        ///< "IP:port" of the entry or agent process on it.
     std::string role;           ///< "entry" or "agent".
-    std::string failure_domain; ///< Such as "khomas-a".
+    std::string failure_domain; ///< Such as "zone-a".
     bool leaving = false;       ///< Whether the platform is about to remove the VM.
 };
 
