Bound what requests make an entry hold

Callers saw: connections reset, requests lost. An entry ran out of memory and ended when callers sent many large bodies at once, or stopped just before the end of a body or a head and stayed.

Cause: only answers of servers were counted (buffer_budget, an eighth of the memory). Heads, unfinished bodies, input buffers of up to 128 KB each that stayed after a chunk, and complete requests that waited were bounded one by one but not together. A head of 64 KB in fields of 4 bytes takes over 1 MB.

Change: memory_budget adds up what all connections hold, of callers and to servers, and is limited to a quarter of the process's memory. Over it, holders are released by kind (what waits for the peer; complete requests that no server has; requests in progress), the most expensive first: bytes by time, so that a request that is being sent outlives stalled ones; in progress the largest, as before. A request that no server has received is refused with 503, not run, and can't be sent any more (caller_exchange::begin_send); its tokens are returned. One that a server may be running ends with its connection.

What is at servers isn't given up for a new request that is as large.

--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import struct
@@ -629,9 +630,15 @@
         self.start()
 
     def start(self):
+        limit = self.site.descriptor_limit
+
+        def set_limit():
+            if limit is not None:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [self.site.program, "--settings", self.settings_path], stdout=log, stderr=log)
+                [self.site.program, "--settings", self.settings_path], stdout=log, stderr=log,
+                preexec_fn=set_limit)
 
     def is_ready(self):
         try:
@@ -716,6 +723,7 @@
                 os.remove(os.path.join(directory, old))
         self.grace_ms = grace_ms
         self.extra_settings = settings or {}
+        self.descriptor_limit = None  # Of each entry, if set.
         self.fleet = fleet or {"allowance_reserve_tokens": 100_000, "repeat_extra": 100,
                                "repeat_ratio": 0.2}
         self.loop = asyncio.new_event_loop()
--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/signal_set.hpp>
 
+#include <agateseam/memory_budget.hpp>
 #include <gateway/digest_codec.hpp>
 #include <gateway/engine_calls.hpp>
 #include <gateway/entry_handlers.hpp>
@@ -51,10 +53,6 @@
 constexpr auto feed_patience = 500ms;
 constexpr auto first_feed_patience = 100ms;
 constexpr auto feed_poll_interval = 50ms;
-/// Responses of servers may take this part of the process's memory; a buffer that grows
-/// is copied, and then takes up to three times its size.
-constexpr std::size_t response_memory_divisor = 8;
-constexpr std::size_t min_response_memory = 1 << 20; // bytes
 
 class entry_service final : public platform_listener
 {
@@ -71,8 +69,8 @@
         , signals(this->loop)
     {
         this->state.dialect = environment.make_dialect();
-        process_buffer_budget().set_limit(std::max(
-            settings.memory_bytes / response_memory_divisor, min_response_memory));
+        process_memory_budget().set_limits(held_memory_limit(settings.memory_bytes),
+                                           std::numeric_limits<std::size_t>::max());
         this->keeper = std::make_unique<quarantine_keeper>(this->state, *this->link);
         this->state.confirm_servers = [this] { return this->confirm_servers(); };
     }
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -328,6 +328,13 @@
             co_return this->withhold(place, kv_source);
         }
         caller_exchange& exchange = *this->scope->exchange;
+        if (!exchange.begin_send())
+        {
+            this->state->pool.return_connection(link);
+            this->place_search.release(place);
+            this->release_kv_cache(kv_source);
+            co_return retry_decision::relay;
+        }
         exchange.on_disconnect([link] { link->close(); });
         forward_options options;
         options.server = &place.chosen_server();
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -369,6 +369,12 @@
             this->state->pool.return_connection(link);
             co_return outcome;
         }
+        if (!exchange.begin_send())
+        {
+            this->state->pool.return_connection(link);
+            outcome.is_given_up = true;
+            co_return outcome;
+        }
         exchange.on_disconnect([link] { link->close(); });
         forward_options options;
         options.server = &server;
--- a/src/gateway/request_pipeline.cpp
+++ b/src/gateway/request_pipeline.cpp
@@ -56,6 +56,22 @@
                : workspace.default_tokens;
 }
 
+/// Records that a request was refused or broken off because the process held too much.
+void note_release(request_scope& scope)
+{
+    if (scope.exchange->refused())
+    {
+        scope.outcome = "overloaded";
+        scope.status = status_unavailable;
+        scope.run_statement = "not_run";
+        scope.refund_charged_tokens();
+    }
+    else if (scope.exchange->broken_off())
+    {
+        scope.outcome = "broken_off";
+    }
+}
+
 /// Returns the key that a request has each time that its caller sends it.
 name_key request_key(const request_scope& scope)
 {
@@ -78,6 +94,7 @@
         const open_request_guard guard(this->open_requests, scope);
         co_await this->serve(scope);
     }
+    note_release(scope);
     this->record_end(scope, started_at);
     add_request_usage(scope);
 }
@@ -301,7 +318,9 @@
 
 void request_pipeline::refused(int status, std::string_view reason)
 {
-    this->state->counters.add("agateseam_malformed_requests_total");
+    this->state->counters.add(status == status_unavailable
+                                  ? "agateseam_overloaded_requests_total"
+                                  : "agateseam_malformed_requests_total");
     log_line(log_level::info, "request refused before reading",
              {{"status", std::int64_t{status}}, {"reason", reason}});
 }
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include <transport/caller_connection.hpp>
 
 #include <algorithm>
+#include <array>
 
 #include <sys/socket.h>
 
@@ -16,6 +17,14 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t max_read_ahead = 65'536; // bytes buffered of later requests
+/// Memory of a connection and its coroutines, without buffers.
+constexpr std::size_t connection_overhead = 4 << 10; // bytes
+/// Memory of a request that is handled, without its head and its body.
+constexpr std::size_t exchange_overhead = 12 << 10; // bytes
+/// A head is held twice: as it was received and in what its handler makes of it.
+constexpr std::size_t head_copies = 2;
+/// A larger input buffer is freed when it is empty.
+constexpr std::size_t max_empty_buffer = 4 << 10; // bytes
 /// After the sending side is closed, input is read and discarded for this long. Closing
 /// with unread input would send a reset, which could discard the answer at the caller.
 constexpr auto drain_time = 500ms;
@@ -28,8 +37,18 @@
 constexpr int status_body_too_large = 413;
 constexpr int status_head_too_large = 431;
 constexpr int status_not_implemented = 501;
+constexpr int status_overloaded = 503;
 constexpr int http_1_1 = 11;
 
+/// Tells a caller that its request hasn't run and never will.
+constexpr std::string_view overload_answer =
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    "Content-Type: application/json\r\n"
+    "Content-Length: 47\r\n"
+    "Retry-After: 1\r\n"
+    "Connection: close\r\n\r\n"
+    R"({"error":{"code":"overloaded","run":"not_run"}})";
+
 /// Tells whether the body's length is unambiguous. Otherwise a backend server could see
 /// the request end elsewhere, which allows request smuggling.
 bool has_unambiguous_framing(const message_head& head)
@@ -89,7 +108,21 @@
 
 bool caller_exchange::disconnected() const noexcept
 {
-    return this->connection->ended;
+    return this->connection->ended || this->connection->is_refused();
+}
+
+bool caller_exchange::refused() const noexcept
+{
+    return this->connection->is_refused();
+}
+
+bool caller_exchange::begin_send()
+{
+    if (!this->disconnected() && this->connection->phase == connection_phase::handling)
+    {
+        this->connection->enter(connection_phase::sent);
+    }
+    return !this->disconnected();
 }
 
 void caller_exchange::on_disconnect(std::function<void()> action)
@@ -139,11 +172,11 @@
     std::string text = this->render_head(
         head,
         states_length ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
-    if (this->received_request.head.method != "HEAD")
+    if (this->received_request.head.method == "HEAD")
     {
-        text += body;
+        body.clear();
     }
-    co_return co_await this->connection->write(std::move(text));
+    co_return co_await this->connection->write(std::move(text), std::move(body));
 }
 
 task<bool> caller_exchange::begin(caller_answer_head head)
@@ -213,8 +246,14 @@
     this->socket.non_blocking(true, ignored);
 }
 
+caller_connection::~caller_connection()
+{
+    process_memory_budget().remove(*this);
+}
+
 void caller_connection::start(const std::shared_ptr<caller_connection>& connection)
 {
+    connection->enter(connection_phase::idle);
     spawn(*connection->loop,
           [connection]() -> task<void> { co_await connection->serve(); });
 }
@@ -234,9 +273,18 @@
 {
     io_error ignored; // Fails only if the socket is closed already.
     this->socket.close(ignored);
+    this->enter(connection_phase::closed);
     this->handle_disconnect();
 }
 
+/// Closes the connection so that the kernel drops what the caller hasn't read.
+void caller_connection::reset()
+{
+    io_error ignored; // The connection is closed in any case.
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->close();
+}
+
 void caller_connection::handle_disconnect()
 {
     this->ended = true;
@@ -254,6 +302,123 @@
     }
 }
 
+void caller_connection::enter(connection_phase next)
+{
+    this->phase = next;
+    this->held_since = boot_now();
+    process_memory_budget().renew(*this);
+    this->update_held_resources();
+}
+
+void caller_connection::set_unread_bytes(std::size_t bytes)
+{
+    if (this->unread_bytes == 0)
+    {
+        this->held_since = boot_now();
+    }
+    this->unread_bytes = bytes;
+    this->update_held_resources();
+}
+
+void caller_connection::update_held_resources()
+{
+    process_memory_budget().update(
+        *this,
+        {this->held_bytes(), this->held_kind(), this->socket.is_open(), this->held_since},
+        boot_now());
+}
+
+std::size_t caller_connection::held_bytes() const
+{
+    std::size_t bytes = connection_overhead + this->input.capacity() + this->unread_bytes;
+    if (this->parser)
+    {
+        bytes += this->parser->memory_size();
+    }
+    if (this->exchange != nullptr)
+    {
+        bytes += exchange_overhead + head_copies * this->request_head_bytes +
+                 this->exchange->received_request.body->capacity();
+    }
+    return bytes;
+}
+
+hold_kind caller_connection::held_kind() const
+{
+    if (this->exchange == nullptr || this->unread_bytes > 0 || this->is_reading_paused())
+    {
+        return hold_kind::awaits_peer;
+    }
+    return this->phase == connection_phase::handling ? hold_kind::awaits_server
+                                                     : hold_kind::in_progress;
+}
+
+bool caller_connection::is_reading_paused() const noexcept
+{
+    return this->exchange != nullptr && this->input.size() >= max_read_ahead;
+}
+
+void caller_connection::release(resource_shortage shortage)
+{
+    const bool can_refuse = this->phase == connection_phase::receiving ||
+                            this->phase == connection_phase::handling;
+    if (this->phase == connection_phase::closed)
+    {
+        // The request ends soon, and its memory with it.
+    }
+    else if (can_refuse && !(this->exchange && this->exchange->answered()))
+    {
+        this->refuse_overloaded();
+        if (shortage == resource_shortage::connections)
+        {
+            this->close();
+        }
+    }
+    else if (this->exchange != nullptr && !this->is_refused())
+    {
+        this->exchange->is_broken_off = true;
+        this->exchange->response_started = true;
+        this->reset();
+    }
+    else
+    {
+        this->close();
+    }
+    this->free_buffers();
+    this->update_held_resources();
+}
+
+/// Answers that the request hasn't run. It isn't sent to any server then.
+void caller_connection::refuse_overloaded()
+{
+    this->handler->refused(status_overloaded, "the process holds too much");
+    this->keep_alive = false;
+    io_error ignored; // A caller that reads nothing doesn't get the refusal.
+    this->socket.write_some(asio::buffer(overload_answer), ignored);
+    this->enter(connection_phase::refused);
+    this->state_changed.notify();
+    this->run_disconnect_action();
+}
+
+void caller_connection::free_buffers()
+{
+    // An assignment of an empty string would keep the memory.
+    std::string().swap(this->input);
+    this->parser.reset();
+    if (this->exchange != nullptr)
+    {
+        this->exchange->received_request.body = std::make_shared<const std::string>();
+    }
+}
+
+void caller_connection::free_unused_input()
+{
+    if (this->input.empty() && this->input.capacity() > max_empty_buffer)
+    {
+        std::string().swap(this->input);
+    }
+}
+
 void caller_connection::start_reading()
 {
     if (this->reading || this->ended || this->input.size() >= max_read_ahead)
@@ -295,8 +460,16 @@
             this->busy = true;
             this->first_byte_at = this->latest_byte_at;
         }
-        this->input.append(bytes.data(), count);
+        if (!this->is_refused())
+        {
+            this->input.append(bytes.data(), count);
+        }
         this->state_changed.notify();
+        if (this->exchange != nullptr)
+        {
+            // A request that is received is counted when it has been parsed.
+            this->update_held_resources();
+        }
     }
     this->reading = false;
     if (this->input.size() < max_read_ahead)
@@ -322,49 +495,82 @@
     {
         caller_request request;
         const read_outcome end = co_await this->read_request(request);
+        this->parser.reset();
         if (end != read_outcome::complete)
         {
             break;
         }
         this->keep_alive = wants_keep_alive(request.head);
-        caller_exchange exchange(*this, std::move(request));
-        this->start_reading();
-        co_await this->handler->handle(exchange);
-        this->disconnect_action = nullptr;
-        this->busy = false;
-        if (!exchange.answered())
-        {
-            exchange.abort();
-        }
+        co_await this->handle_request(std::move(request));
     }
     co_await this->drain_before_close();
     this->close();
 }
 
+task<void> caller_connection::handle_request(caller_request request)
+{
+    caller_exchange current(*this, std::move(request));
+    this->exchange = &current;
+    this->enter(connection_phase::handling);
+    if (!current.disconnected())
+    {
+        this->start_reading();
+        co_await this->handler->handle(current);
+    }
+    this->disconnect_action = nullptr;
+    this->busy = false;
+    if (!current.answered() && !this->is_refused())
+    {
+        current.abort();
+    }
+    this->exchange = nullptr;
+}
+
+/// Creates the parser of the next request.
+void caller_connection::begin_request(const caller_limits& limits)
+{
+    this->parser = std::make_unique<request_parser>();
+    this->parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    this->parser->body_limit(limits.body_bytes);
+    this->parser->eager(true);
+    this->enter(connection_phase::receiving);
+}
+
 task<caller_connection::read_outcome>
 caller_connection::read_request(caller_request& request)
 {
     namespace http = boost::beast::http;
     const caller_limits limits = this->handler->limits();
-    request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-    parser.body_limit(limits.body_bytes);
-    parser.eager(true);
     if (!this->input.empty())
     {
         this->busy = true;
         this->first_byte_at = boot_now();
         this->latest_byte_at = this->first_byte_at;
     }
+    else
+    {
+        this->enter(connection_phase::idle);
+    }
     const time_point idle_deadline = boot_now() + limits.idle_timeout;
     time_point deadline = idle_deadline;
     bool continue_sent = false;
-    while (!parser.is_done())
+    for (;;)
     {
         boost::beast::error_code fault;
         if (!this->input.empty())
         {
-            if (!parse_some(parser, this->input, fault))
+            if (!this->parser)
+            {
+                this->begin_request(limits);
+            }
+            const bool is_valid = parse_some(*this->parser, this->input, fault);
+            this->free_unused_input();
+            this->update_held_resources();
+            if (this->is_refused() || this->ended)
+            {
+                co_return read_outcome::refused;
+            }
+            if (!is_valid)
             {
                 const int status =
                     fault == http::error::header_limit ? status_head_too_large
@@ -372,25 +578,30 @@
                                                        : status_bad_request;
                 co_return co_await this->refuse(status, fault.message());
             }
-            if (parser.is_done())
+            if (this->parser->is_done())
             {
                 break;
             }
             // A body has its time anew with each part that arrives.
             deadline =
-                parser.is_header_done()
+                this->parser->is_header_done()
                     ? this->latest_byte_at + limits.header_timeout * body_timeout_factor
                     : this->first_byte_at + limits.header_timeout;
         }
-        if (parser.is_header_done() && !continue_sent &&
-            list_contains_token(parser.head.field("Expect"), "100-continue"))
+        if (this->parser && this->parser->is_header_done() && !continue_sent &&
+            list_contains_token(this->parser->head.field("Expect"), "100-continue"))
         {
             continue_sent = true;
             co_await this->write("HTTP/1.1 100 Continue\r\n\r\n");
             // The body may have arrived meanwhile, which wakes nobody.
             continue;
         }
-        if (!co_await this->wait_for_bytes(deadline))
+        const bool has_bytes = co_await this->wait_for_bytes(deadline);
+        if (this->is_refused())
+        {
+            co_return read_outcome::refused;
+        }
+        if (!has_bytes)
         {
             if (this->ended || !this->busy)
             {
@@ -399,13 +610,14 @@
             co_return co_await this->refuse(status_timeout, "the request took too long");
         }
     }
-    if (!has_unambiguous_framing(parser.head))
+    if (!has_unambiguous_framing(this->parser->head))
     {
         co_return co_await this->refuse(status_not_implemented,
                                         "framed in a way that isn't supported");
     }
-    request.head = std::move(parser.head);
-    request.body = std::make_shared<const std::string>(std::move(parser.body));
+    this->request_head_bytes = this->parser->head_memory_size();
+    request.head = std::move(this->parser->head);
+    request.body = std::make_shared<const std::string>(std::move(this->parser->body));
     request.arrived = this->first_byte_at;
     co_return read_outcome::complete;
 }
@@ -422,19 +634,42 @@
     co_return read_outcome::refused;
 }
 
-task<bool> caller_connection::write(std::string bytes)
+task<bool> caller_connection::write(std::string head, std::string body)
 {
-    if (this->ended)
-    {
-        co_return false;
-    }
-    io_error fault;
-    co_await asio::async_write(this->socket, asio::buffer(bytes), store_error_in(fault));
-    if (fault)
+    const std::size_t size = head.size() + body.size();
+    std::size_t sent = 0;
+    while (!this->ended && !this->is_refused() && sent < size)
     {
-        this->handle_disconnect();
+        const std::size_t sent_of_head = std::min(sent, head.size());
+        const std::array<asio::const_buffer, 2> rest{asio::buffer(head) + sent_of_head,
+                                                     asio::buffer(body) +
+                                                         (sent - sent_of_head)};
+        io_error fault;
+        sent += this->socket.write_some(rest, fault);
+        if (fault == asio::error::would_block || fault == asio::error::try_again)
+        {
+            this->set_unread_bytes(head.capacity() + body.capacity());
+            co_await this->wait_until_writable();
+            this->set_unread_bytes(0);
+        }
+        else if (fault)
+        {
+            this->handle_disconnect();
+        }
     }
-    co_return !fault;
+    co_return !this->ended && !this->is_refused();
+}
+
+/// Waits until the caller has read a part of what it was sent. A caller that reads
+/// nothing for as long as a connection may be idle is disconnected.
+task<void> caller_connection::wait_until_writable()
+{
+    deadline_timer timer(*this->loop);
+    timer.arm(this->handler->limits().idle_timeout,
+              [self = this->shared_from_this()] { self->reset(); });
+    io_error ignored; // The next write reports it.
+    co_await this->socket.async_wait(asio::socket_base::wait_write,
+                                     store_error_in(ignored));
 }
 
 task<void> caller_connection::drain_before_close()
@@ -450,6 +685,7 @@
     while (!this->ended && boot_now() < deadline)
     {
         this->input.clear();
+        this->free_unused_input();
         co_await this->wait_for_bytes(deadline);
     }
 }
--- a/src/transport/caller_connection.hpp
+++ b/src/transport/caller_connection.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include <agateseam/memory_budget.hpp>
 #include <agateseam/routing_table.hpp>
 #include <transport/endpoint.hpp>
 #include <transport/event_loop.hpp>
@@ -48,9 +49,20 @@
         return this->received_request;
     }
 
-    /// \brief Tells whether the caller has closed the connection.
+    /// \brief Tells whether the caller has closed the connection, or was refused.
     [[nodiscard]] bool disconnected() const noexcept;
 
+    /// \brief Tells whether the caller got "not run" because the process held too much.
+    [[nodiscard]] bool refused() const noexcept;
+
+    /// \brief Tells whether the connection was closed because the process held too much.
+    [[nodiscard]] bool broken_off() const noexcept { return this->is_broken_off; }
+
+    /// \brief Notes that a server is about to receive the request, so that the caller
+    /// can't be told any more that it hasn't run.
+    /// \returns false if the caller was refused before; nothing may be sent then.
+    [[nodiscard]] bool begin_send();
+
     /// \brief Sets the action that runs when the caller closes the connection or the
     /// request is interrupted. It replaces the action that was set before.
     void on_disconnect(std::function<void()> action);
@@ -79,6 +91,8 @@
     [[nodiscard]] bool answered() const noexcept { return this->response_started; }
 
   private:
+    friend class caller_connection;
+
     [[nodiscard]] std::string render_head(const caller_answer_head& head,
                                           std::string_view framing);
 
@@ -86,6 +100,7 @@
     caller_request received_request;
     bool response_started = false;
     bool chunked = false;
+    bool is_broken_off = false;
 };
 
 /// \brief Answers the requests of callers.
@@ -103,17 +118,33 @@
     /// \brief Tells whether answers should ask the caller to open a new connection.
     [[nodiscard]] virtual bool closing() const = 0;
 
-    /// \brief Is called for a request that was refused before it could be handled.
+    /// \brief Is called for a request that was refused before it could be handled, or
+    /// before a server received it.
     virtual void refused(int status, std::string_view reason) = 0;
 };
 
+/// What a connection is doing.
+enum class connection_phase : std::uint8_t
+{
+    idle,
+    receiving, ///< A request has begun.
+    handling,  ///< No server has received the request.
+    sent,      ///< A server may be running the request.
+    refused,   ///< The rest of the input is discarded.
+    closed
+};
+
 /// \brief Reads requests, passes them to a handler and notices when the caller
 /// disconnects.
-class caller_connection : public std::enable_shared_from_this<caller_connection>
+class caller_connection final : public std::enable_shared_from_this<caller_connection>,
+                                private memory_holder
 {
   public:
     caller_connection(event_loop& io_loop, tcp_socket accepted,
                       caller_handler& request_handler);
+    ~caller_connection() override;
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
 
     /// \brief Starts serving the connection, until it is closed.
     static void start(const std::shared_ptr<caller_connection>& connection);
@@ -136,11 +167,30 @@
     task<void> serve();
     task<void> read_ahead();
     task<read_outcome> read_request(caller_request& request);
+    task<void> handle_request(caller_request request);
+    void begin_request(const caller_limits& limits);
     task<bool> wait_for_bytes(time_point until);
     task<read_outcome> refuse(int status, std::string_view reason);
-    task<bool> write(std::string bytes);
+    task<bool> write(std::string head, std::string body = {});
+    task<void> wait_until_writable();
     task<void> drain_before_close();
     void start_reading();
+    void release(resource_shortage shortage) override;
+    void refuse_overloaded();
+    void reset();
+    void free_buffers();
+    void free_unused_input();
+    void enter(connection_phase next);
+    void set_unread_bytes(std::size_t bytes);
+    void update_held_resources();
+    [[nodiscard]] std::size_t held_bytes() const;
+    [[nodiscard]] hold_kind held_kind() const;
+    /// Tells whether reading pauses because the caller sends far ahead.
+    [[nodiscard]] bool is_reading_paused() const noexcept;
+    [[nodiscard]] bool is_refused() const noexcept
+    {
+        return this->phase == connection_phase::refused;
+    }
     void handle_disconnect();
     void run_disconnect_action();
 
@@ -148,6 +198,12 @@
     tcp_socket socket;
     caller_handler* handler;
     std::string input;
+    std::unique_ptr<request_parser> parser; ///< Of the request that is received.
+    caller_exchange* exchange = nullptr;    ///< Of the request that is handled.
+    std::size_t request_head_bytes = 0;     ///< Memory of that request's head.
+    std::size_t unread_bytes = 0; ///< Memory of an answer that the caller doesn't read.
+    connection_phase phase = connection_phase::idle;
+    time_point held_since{}; ///< Begin of the phase, or of what the caller doesn't read.
     wake_signal state_changed;  ///< Bytes were read, or the connection ended.
     time_point first_byte_at{}; ///< Of the request that is read or answered.
     time_point latest_byte_at{};
--- a/src/transport/message_parser.hpp
+++ b/src/transport/message_parser.hpp
@@ -53,6 +53,17 @@
     message_head head;
     std::string body;
 
+    /// \brief Returns the memory that the head and the body take.
+    [[nodiscard]] std::size_t memory_size() const noexcept
+    {
+        return this->head_memory_size() + this->body.capacity();
+    }
+
+    [[nodiscard]] std::size_t head_memory_size() const noexcept
+    {
+        return this->head.fields.capacity() * sizeof(header_field) + this->head_text_size;
+    }
+
     /// \brief Tells whether the body is in chunks of which none has begun.
     [[nodiscard]] bool expects_first_chunk() const
     {
@@ -69,6 +80,7 @@
 
     void on_request_impl(verb, view method, view target, int version, fault&) override
     {
+        this->head_text_size += method.size() + target.size();
         this->head.method = to_string(method);
         this->head.target = to_string(target);
         this->head.version = version;
@@ -82,6 +94,7 @@
 
     void on_field_impl(field, view name, view value, fault&) override
     {
+        this->head_text_size += name.size() + value.size();
         this->head.fields.push_back({to_string(name), to_string(value)});
     }
 
@@ -109,6 +122,7 @@
     void on_finish_impl(fault&) override {}
 
     bool chunk_begun = false;
+    std::size_t head_text_size = 0; ///< Bytes of the start line and the fields.
 };
 
 using request_parser = message_parser<true>;
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t max_unparsed_bytes = 128 << 10;
 /// An idle connection doesn't keep a larger read buffer.
 constexpr std::size_t max_idle_buffer = 4 << 10;
+/// Memory of a connection without buffers.
+constexpr std::size_t connection_overhead = 2 << 10; // bytes
 /// The kernel closes a connection whose sent bytes stay unacknowledged for this long.
 constexpr unsigned unacknowledged_timeout_ms = 2'000;
 /// Interval of keep-alive probes, and the idle time before the first one.
@@ -98,26 +100,30 @@
 
 upstream_connection::~upstream_connection()
 {
-    process_buffer_budget().update(*this, this->counted_bytes, 0);
+    process_memory_budget().remove(*this);
 }
 
-void upstream_connection::update_buffer_size()
+void upstream_connection::update_held_resources()
 {
-    const std::size_t bytes = (this->parser ? this->parser->body.capacity() : 0) +
-                              this->input.capacity() + this->kept_by_reader;
-    const std::size_t before = std::exchange(this->counted_bytes, bytes);
-    process_buffer_budget().update(*this, before, bytes);
+    held_resources resources;
+    resources.bytes = connection_overhead +
+                      (this->parser ? this->parser->memory_size() : 0) +
+                      this->input.capacity() + this->kept_by_reader;
+    resources.kind = this->is_idle ? hold_kind::awaits_peer : hold_kind::in_progress;
+    resources.is_connection = this->socket.is_open();
+    resources.since = this->is_idle ? this->idle_since : this->request_sent_at;
+    process_memory_budget().update(*this, resources, boot_now());
 }
 
 void upstream_connection::set_kept_by_reader(std::size_t bytes)
 {
     this->kept_by_reader = bytes;
-    this->update_buffer_size();
+    this->update_held_resources();
 }
 
-void upstream_connection::drop_buffers()
+void upstream_connection::release(resource_shortage)
 {
-    this->buffers_dropped = true;
+    this->is_released = true;
     this->close();
     // An assignment of an empty string would keep the memory.
     std::string().swap(this->input);
@@ -126,7 +132,7 @@
         std::string().swap(this->parser->body);
     }
     this->kept_by_reader = 0;
-    this->update_buffer_size();
+    this->update_held_resources();
 }
 
 io_outcome upstream_connection::close_garbled()
@@ -146,7 +152,12 @@
     deadline_timer connect_timer(*this->loop);
     connect_timer.arm(timeout, [self] { self->close(); });
     io_error fault;
-    co_await this->socket.async_connect(*endpoint, store_error_in(fault));
+    this->socket.open(endpoint->protocol(), fault);
+    this->set_in_use();
+    if (!fault)
+    {
+        co_await this->socket.async_connect(*endpoint, store_error_in(fault));
+    }
     connect_timer.disarm();
     if (fault || this->closed)
     {
@@ -184,9 +195,9 @@
 {
     if (this->closed)
     {
-        co_return this->buffers_dropped ? io_outcome::garbled
-        : this->timed_out               ? io_outcome::timed_out
-                                        : io_outcome::broken;
+        co_return this->is_released ? io_outcome::garbled
+        : this->timed_out           ? io_outcome::timed_out
+                                    : io_outcome::broken;
     }
     const duration remaining = deadline - boot_now();
     if (remaining <= duration::zero())
@@ -218,7 +229,7 @@
         }
     }
     this->read_timer.disarm();
-    if (this->buffers_dropped)
+    if (this->is_released)
     {
         co_return io_outcome::garbled;
     }
@@ -371,8 +382,8 @@
     {
         co_return this->close_garbled();
     }
-    this->update_buffer_size();
-    if (this->buffers_dropped)
+    this->update_held_resources();
+    if (this->is_released)
     {
         co_return io_outcome::garbled;
     }
@@ -413,19 +424,30 @@
 {
     std::string taken;
     taken.swap(this->parser->body);
-    this->update_buffer_size();
+    this->update_held_resources();
     return taken;
 }
 
-void upstream_connection::shrink_buffers()
+void upstream_connection::set_idle(duration timeout)
 {
     if (this->input.capacity() > max_idle_buffer)
     {
         std::string().swap(this->input);
     }
+    this->is_idle = true;
+    this->idle_since = boot_now();
+    this->idle_timeout = timeout;
     this->set_kept_by_reader(0);
 }
 
+void upstream_connection::set_in_use()
+{
+    this->is_idle = false;
+    this->request_sent_at = boot_now();
+    process_memory_budget().renew(*this);
+    this->update_held_resources();
+}
+
 bool upstream_connection::reusable() const
 {
     return !this->closed && !this->writing && this->input.empty() && this->parser &&
@@ -451,6 +473,7 @@
     this->closed = true;
     io_error ignored; // Fails only if the socket is closed already.
     this->socket.close(ignored);
+    this->update_held_resources();
 }
 
 upstream_pool::upstream_pool(event_loop& io_loop, upstream_options initial_options)
@@ -470,8 +493,10 @@
         connections.pop_back();
         const bool has_carried_request =
             !request_id.empty() && connection->request_id() == request_id;
-        if (now - connection->idle_since < connection->idle_timeout &&
-            !has_carried_request && connection->alive())
+        const bool is_usable =
+            !connection->is_idle_timeout_over(now) && !has_carried_request;
+        connection->set_in_use();
+        if (is_usable && connection->alive())
         {
             return connection;
         }
@@ -503,12 +528,10 @@
     }
     const int stated_seconds =
         stated_idle_seconds(connection->head().field("Keep-Alive"));
-    connection->idle_timeout = stated_seconds < 0
-                                   ? duration(this->options.default_idle_timeout)
-                                   : duration(std::chrono::seconds(stated_seconds)) -
-                                         this->options.idle_timeout_margin;
-    connection->idle_since = boot_now();
-    connection->shrink_buffers();
+    connection->set_idle(stated_seconds < 0
+                             ? duration(this->options.default_idle_timeout)
+                             : duration(std::chrono::seconds(stated_seconds)) -
+                                   this->options.idle_timeout_margin);
     auto& connections = this->idle[connection->address()];
     connections.push_back(connection);
     if (connections.size() > this->options.max_idle_per_address)
@@ -526,7 +549,7 @@
         std::erase_if(address_pool->second,
                       [now](const std::shared_ptr<upstream_connection>& connection)
                       {
-                          if (now - connection->idle_since < connection->idle_timeout &&
+                          if (!connection->is_idle_timeout_over(now) &&
                               connection->alive())
                           {
                               return false;
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <unordered_map>
 
-#include <transport/buffer_budget.hpp>
+#include <agateseam/memory_budget.hpp>
 #include <transport/event_loop.hpp>
 #include <transport/message_parser.hpp>
 
@@ -40,7 +40,7 @@
 /// \brief One connection to a backend server; one request at a time.
 class upstream_connection final
     : public std::enable_shared_from_this<upstream_connection>,
-      private buffer_holder
+      private memory_holder
 {
   public:
     upstream_connection(event_loop& io_loop, std::string peer_address);
@@ -99,8 +99,14 @@
     /// \brief Tells whether another request may follow on this connection.
     [[nodiscard]] bool reusable() const;
 
-    /// \brief Frees large buffers of a connection that becomes idle.
-    void shrink_buffers();
+    /// \brief Notes that the connection gets into a pool, and frees large buffers.
+    void set_idle(duration timeout);
+    /// \brief Notes that the connection is taken from a pool.
+    void set_in_use();
+    [[nodiscard]] bool is_idle_timeout_over(time_point now) const noexcept
+    {
+        return now - this->idle_since >= this->idle_timeout;
+    }
 
     /// \brief Tells whether an idle connection is open and has no unexpected bytes.
     [[nodiscard]] bool alive();
@@ -133,9 +139,6 @@
         return this->bytes_received;
     }
 
-    time_point idle_since{};
-    duration idle_timeout{}; ///< As the server stated, or the default.
-
   private:
     task<io_outcome> read_more(time_point deadline);
     [[nodiscard]] bool is_request_received();
@@ -145,8 +148,8 @@
     }
     /// Reads the rest of a response that nobody waits for.
     task<io_outcome> skip_body(time_point deadline);
-    void drop_buffers() override;
-    void update_buffer_size();
+    void release(resource_shortage shortage) override;
+    void update_held_resources();
     /// Closes the connection because of its bytes.
     io_outcome close_garbled();
 
@@ -164,10 +167,12 @@
     bool writing = false;
     bool closed = false;
     bool timed_out = false;
-    bool buffers_dropped = false;  ///< The process held too many bytes.
+    bool is_released = false;      ///< The process held too much.
     std::size_t skipped_bytes = 0; ///< Of responses to other requests.
     std::size_t kept_by_reader = 0;
-    std::size_t counted_bytes = 0; ///< Of the process's budget.
+    bool is_idle = false; ///< In a pool.
+    time_point idle_since{};
+    duration idle_timeout{}; ///< As the server stated, or the default.
     deadline_timer read_timer;
 };
 
