Bound the connections of an entry by its descriptors

Callers saw: no answer, or 503 no_server, while others kept connections open on which they sent nothing or a part of a head. Cause: each accepted connection stayed until its time-out, up to the limit of descriptors; then nothing was accepted, and no connection to a server could be opened.

Evidence: misbehaving_callers_test with 256 descriptors and 400 idle callers (or 400 with a part of a head, or 120 that send on behind a request): 256 of 192 descriptors allowed before, three tests red.

Change: connections of callers and to servers take at most five eighths of the descriptors (new setting `descriptors`, by default the process's limit; on the platform limits.max_fds). Over that, memory_budget closes idle connections and unfinished requests first, as it does for memory; the rest of the descriptors is for the store, other entries, listeners and files.

After: 173, 174 and 174 descriptors; requests are served beside the crowd.

--- a/src/gateway/entry_service.cpp
+++ b/src/gateway/entry_service.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <limits>
 #include <utility>
 
 #include <boost/asio/signal_set.hpp>
@@ -70,7 +69,7 @@
     {
         this->state.dialect = environment.make_dialect();
         process_memory_budget().set_limits(held_memory_limit(settings.memory_bytes),
-                                           std::numeric_limits<std::size_t>::max());
+                                           connection_limit_of(settings.descriptors));
         this->keeper = std::make_unique<quarantine_keeper>(this->state, *this->link);
         this->state.confirm_servers = [this] { return this->confirm_servers(); };
     }
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -12,6 +12,7 @@
 #include <agateseam/error.hpp>
 #include <agateseam/fleet_ledger.hpp>
 #include <net/log.hpp>
+#include <net/machine_limits.hpp>
 
 namespace agateseam
 {
@@ -39,6 +40,7 @@
     bool pace_servers = false;
     std::map<std::string, std::string, std::less<>> regions; ///< By failure domain.
     std::size_t memory_bytes = std::size_t{256} << 20; ///< Of the VM, for the process.
+    std::size_t descriptors = descriptor_limit(); ///< That the process may have open.
     double link_mbps = 0; ///< Of the VM; 0 if it isn't known.
     log_level log = log_level::info;
 
--- /dev/null
+++ b/src/net/machine_limits.hpp
@@ -0,0 +1,15 @@
+/// What the operating system allows this process.
+#pragma once
+
+#include <cstddef>
+
+namespace agateseam
+{
+
+/// \brief Returns the physical memory of the machine.
+[[nodiscard]] std::size_t machine_memory_bytes() noexcept;
+
+/// \brief Returns how many file descriptors the process may have open.
+[[nodiscard]] std::size_t descriptor_limit() noexcept;
+
+} // namespace agateseam
