Bound answers that callers don't read

Callers saw: connections reset, requests lost. Callers who ask for large answers and don't read them made an entry hold each answer once in its own memory (as head and body together, copied) or in the kernel, where a send buffer grows to 4 MB and a receive buffer to 32 MB; a write had no time limit at all.

The kernel takes at most 64 KB that aren't sent yet (TCP_NOTSENT_LOWAT), and 64 KB of receive buffer for each connection. A caller's end frees what was read of its answer at once: until then it counted, and others were refused instead.

--- a/src/gateway/engine_calls.cpp
+++ b/src/gateway/engine_calls.cpp
@@ -98,7 +98,7 @@
     }
     if (caller != nullptr)
     {
-        caller->on_disconnect([link] { link->close(); });
+        caller->on_disconnect([link] { link->abandon(); });
     }
     link->send(std::move(head), std::move(body));
     const io_outcome head_end =
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -41,7 +41,7 @@
     std::map<std::string, std::string, std::less<>> regions; ///< By failure domain.
     std::size_t memory_bytes = std::size_t{256} << 20; ///< Of the VM, for the process.
     std::size_t descriptors = descriptor_limit(); ///< That the process may have open.
-    double link_mbps = 0; ///< Of the VM; 0 if it isn't known.
+    double link_mbps = 0;                         ///< Of the VM; 0 if it isn't known.
     log_level log = log_level::info;
 
     /// \brief Parses and validates a settings document.
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -335,7 +335,7 @@
             this->release_kv_cache(kv_source);
             co_return retry_decision::relay;
         }
-        exchange.on_disconnect([link] { link->close(); });
+        exchange.on_disconnect([link] { link->abandon(); });
         forward_options options;
         options.server = &place.chosen_server();
         options.time_left = time_left(*this->scope);
--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -375,7 +375,7 @@
             outcome.is_given_up = true;
             co_return outcome;
         }
-        exchange.on_disconnect([link] { link->close(); });
+        exchange.on_disconnect([link] { link->abandon(); });
         forward_options options;
         options.server = &server;
         options.time_left = left;
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t head_copies = 2;
 /// A larger input buffer is freed when it is empty.
 constexpr std::size_t max_empty_buffer = 4 << 10; // bytes
+/// The kernel counts up to twice the size of a receive buffer.
+constexpr std::size_t max_unread_input = std::size_t{2} * receive_buffer_size;
 /// After the sending side is closed, input is read and discarded for this long. Closing
 /// with unread input would send a reset, which could discard the answer at the caller.
 constexpr auto drain_time = 500ms;
@@ -244,6 +246,7 @@
     io_error ignored; // The connection works without the option.
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->socket.non_blocking(true, ignored);
+    limit_unsent_bytes(this->socket);
 }
 
 caller_connection::~caller_connection()
@@ -331,6 +334,10 @@
 std::size_t caller_connection::held_bytes() const
 {
     std::size_t bytes = connection_overhead + this->input.capacity() + this->unread_bytes;
+    if (this->is_reading_paused())
+    {
+        bytes += max_unread_input;
+    }
     if (this->parser)
     {
         bytes += this->parser->memory_size();
@@ -405,6 +412,7 @@
     // An assignment of an empty string would keep the memory.
     std::string().swap(this->input);
     this->parser.reset();
+    this->unread_bytes = 0; // The write ends with the connection.
     if (this->exchange != nullptr)
     {
         this->exchange->received_request.body = std::make_shared<const std::string>();
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -124,6 +124,11 @@
 void upstream_connection::release(resource_shortage)
 {
     this->is_released = true;
+    this->abandon();
+}
+
+void upstream_connection::abandon()
+{
     this->close();
     // An assignment of an empty string would keep the memory.
     std::string().swap(this->input);
@@ -153,6 +158,9 @@
     connect_timer.arm(timeout, [self] { self->close(); });
     io_error fault;
     this->socket.open(endpoint->protocol(), fault);
+    io_error ignored; // The connection works without the option.
+    this->socket.set_option(asio::socket_base::receive_buffer_size(receive_buffer_size),
+                            ignored);
     this->set_in_use();
     if (!fault)
     {
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -114,6 +114,9 @@
     /// \brief Closes the connection. A pending read ends as `broken`.
     void close();
 
+    /// \brief Closes the connection and frees what was read of the response.
+    void abandon();
+
     [[nodiscard]] const std::string& address() const noexcept { return this->peer; }
     /// \brief Tells whether the response that is read is the first on this connection, so
     /// that it can't belong to an earlier request.
