Bound what callers make the daemon hold

Callers saw connections reset when the process ended, or no answer while others held all descriptors. Cause: each request was bounded (body_bytes) and so was the number of connections (20,000), but not what they hold together: 20,000 bodies of 8 MB.

Change: the server has a memory_budget of a quarter of `listen.memory_mb` (new; by default the machine's memory) and five eighths of the descriptors. Connections with the library's buffers, unfinished bodies, complete requests with the copies that their handlers make, and unsent answers count. A request that is given up before its end is read on and refused with 503, not run; a stalled one keeps only its connection; one in progress is broken off. The kernel's buffers are bounded as on the other path, the client pools fewer idle connections than descriptors, and a complete answer is held once instead of twice.

--- a/include/agateseam/memory_budget.hpp
+++ b/include/agateseam/memory_budget.hpp
@@ -32,8 +32,8 @@
 {
     std::size_t bytes = 0;
     hold_kind kind = hold_kind::awaits_peer;
-    bool is_connection = false; ///< Whether it has an open socket.
-    time_point since{};         ///< Of the request, the answer or the idle time.
+    std::size_t connections = 0; ///< Open sockets.
+    time_point since{};          ///< Of the request, the answer or the idle time.
 };
 
 class memory_budget;
@@ -134,7 +134,7 @@
 }
 
 /// \brief Returns how many of a process's descriptors may be connections of callers and
-/// to servers. The rest is for the store, other entries, listeners and files.
+/// for their requests. The rest is for the store, other entries, listeners and files.
 [[nodiscard]] constexpr std::size_t connection_limit_of(std::size_t descriptors) noexcept
 {
     constexpr std::size_t numerator = 5;
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+import resource
 import signal
 import subprocess
 import time
@@ -43,13 +44,18 @@
 class Process:
     """A started program and its log file, which later processes of its name append to."""
 
-    def __init__(self, name, command, directory):
+    def __init__(self, name, command, directory, descriptor_limit=None):
         self.name = name
         self.command = command
         self.log_path = os.path.join(directory, name + ".log")
         self.log = open(self.log_path, "ab")
         self.begin = os.path.getsize(self.log_path)
-        self.child = subprocess.Popen(command, stdout=self.log, stderr=self.log)
+
+        def set_limit():
+            if descriptor_limit is not None:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptor_limit, descriptor_limit))
+        self.child = subprocess.Popen(command, stdout=self.log, stderr=self.log,
+                                      preexec_fn=set_limit)
         self.port = None
         self.stop_requested = False
 
@@ -119,6 +125,7 @@
         self.platform_options = list(platform_options)
         self.limits = limits or {}
         self.listen = listen or {}
+        self.descriptor_limit = None  # Of each entry, if set.
         self.processes = {}
         self.agents = []
         self.entries = []
@@ -128,8 +135,8 @@
     def program_path(self, name):
         return os.path.join(self.build, name)
 
-    def launch(self, name, command):
-        process = Process(name, command, self.directory)
+    def launch(self, name, command, descriptor_limit=None):
+        process = Process(name, command, self.directory, descriptor_limit)
         self.processes[name] = process
         return process
 
@@ -149,7 +156,8 @@
 
     def launch_daemon(self, name, content):
         path = self.write_settings(name, content)
-        return self.launch(name, [self.program_path("agateseamd"), "--settings", path])
+        limit = self.descriptor_limit if content["role"] == "entry" else None
+        return self.launch(name, [self.program_path("agateseamd"), "--settings", path], limit)
 
     def launch_agent(self, name, kind, domain, port=0):
         pool = "booking" if kind == "service" else "drafting"
--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -102,13 +102,13 @@
 void memory_budget::add(const held_resources& held)
 {
     this->held_bytes += held.bytes;
-    this->held_connections += held.is_connection ? 1 : 0;
+    this->held_connections += held.connections;
 }
 
 void memory_budget::subtract(const held_resources& held)
 {
     this->held_bytes -= held.bytes;
-    this->held_connections -= held.is_connection ? 1 : 0;
+    this->held_connections -= held.connections;
 }
 
 void memory_budget::enforce(time_point now)
@@ -172,7 +172,7 @@
 {
     return shortage == resource_shortage::memory
                ? holder.counted.bytes > 0 && !holder.has_released_memory
-               : holder.counted.is_connection && !holder.has_closed_connection;
+               : holder.counted.connections > 0 && !holder.has_closed_connection;
 }
 
 /// Returns the holders that are to be released first, in that order.
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::int64_t max_port = 65'535;
 constexpr std::int64_t max_duration_ms = 86'400'000;
+constexpr double max_memory_mb = 1e9;
+constexpr double bytes_per_mb = 1 << 20;
 constexpr std::size_t min_secret_length = 16; // Number of characters.
 
 result<std::string> read_file(const std::string& file)
@@ -60,6 +62,10 @@
         static_cast<std::size_t>(section.integer("header_bytes", 1'024, 1 << 20, 32'768));
     listen.max_body_bytes = static_cast<std::size_t>(
         section.integer("body_bytes", 1'024, 1 << 30, 8'388'608));
+    listen.memory_bytes = static_cast<std::size_t>(
+        section.number("memory_mb", 1, max_memory_mb,
+                       static_cast<double>(listen.memory_bytes) / bytes_per_mb) *
+        bytes_per_mb);
     listen.idle_timeout =
         std::chrono::seconds(section.integer("idle_seconds", 1, 3'600, 10));
     listen.request_timeout =
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -13,6 +13,7 @@
 #include <curl/curl.h>
 
 #include <net/curl_call.hpp>
+#include <net/machine_limits.hpp>
 
 namespace agateseam
 {
@@ -25,6 +26,8 @@
 constexpr int poll_timeout_ms = 250;
 constexpr std::chrono::milliseconds idle_check_interval{250};
 constexpr std::size_t max_idle_handles = 256;
+/// Pooled connections of one thread take at most this part of the descriptors.
+constexpr std::size_t min_descriptors_per_connection = 16;
 constexpr unsigned thread_index_bits = 8; ///< The lowest bits of a call's id.
 
 /// One thread with its own multi handle and its own pooled connections.
@@ -35,8 +38,10 @@
         : options(initial_options)
         , multi(curl_multi_init())
     {
+        const auto descriptors =
+            static_cast<long>(descriptor_limit() / min_descriptors_per_connection);
         curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
-                          initial_options.max_connections);
+                          std::min(initial_options.max_connections, descriptors));
         this->worker = std::thread([this] { this->run(); });
     }
 
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -13,32 +13,31 @@
 
 #include <microhttpd.h>
 
+#include <agateseam/memory_budget.hpp>
 #include <net/http_server.hpp>
 
 namespace agateseam
 {
 
-/// The state of the server that its exchanges read.
+/// The state of the server that its exchanges share.
 struct server_state
 {
+    memory_budget budget;
     std::atomic<bool> closing{false}; ///< Connections are closed after their next answer.
     std::atomic<bool> stopping{false}; ///< The server waits for no more answers.
 };
 
 /// Implements http_exchange with libmicrohttpd.
 class exchange_impl final : public http_exchange,
-                            public std::enable_shared_from_this<exchange_impl>
+                            public std::enable_shared_from_this<exchange_impl>,
+                            private memory_holder
 {
   public:
-    exchange_impl(MHD_Connection* mhd_connection, const server_state& shared_state)
-        : connection(mhd_connection)
-        , server(&shared_state)
-        , started(std::chrono::steady_clock::now())
-    {
-        const MHD_ConnectionInfo* info =
-            MHD_get_connection_info(mhd_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        this->descriptor = info != nullptr ? info->connect_fd : -1;
-    }
+    exchange_impl(MHD_Connection* mhd_connection,
+                  std::shared_ptr<server_state> shared_state);
+    ~exchange_impl() override;
+    exchange_impl(const exchange_impl&) = delete;
+    exchange_impl& operator=(const exchange_impl&) = delete;
 
     [[nodiscard]] const http_request& request() const noexcept override
     {
@@ -50,6 +49,15 @@
         return std::move(this->parsed.body);
     }
 
+    /// Appends a part of the body, or discards the body if it gets larger than the limit.
+    void append_body(std::string_view part, std::size_t max_bytes);
+
+    /// Notes that the request is complete.
+    /// \param connection_size memory of the connection, which the request holds from now
+    /// on.
+    /// \returns false if it was given up because the process held too much.
+    [[nodiscard]] bool complete_request(std::size_t connection_size);
+
     void respond(int status, std::vector<http_header> headers, std::string body) override;
     void begin_stream(int status, std::vector<http_header> headers) override;
     std::size_t write(std::string_view data) override;
@@ -81,10 +89,16 @@
     /// Aborts the answer because the server stops.
     void stop();
 
+    /// Records the memory of the request's head, which is parsed.
+    void set_head_bytes();
+
     http_request parsed;
     bool body_complete = false;
     std::size_t received = 0; ///< Bytes of the body so far, including discarded ones.
 
+    /// Records what the exchange holds, after that has changed.
+    void update_held_resources();
+
     [[nodiscard]] std::chrono::steady_clock::time_point start_time() const noexcept
     {
         return this->started;
@@ -103,10 +117,13 @@
     void resume_locked();
     void handle_disconnect();
     [[nodiscard]] MHD_Response* make_response();
+    [[nodiscard]] MHD_Result queue_or_suspend_unaccounted();
+    void release(resource_shortage shortage) override;
+    [[nodiscard]] held_resources held_locked() const;
 
     std::mutex mutex;
     MHD_Connection* connection;
-    const server_state* server;
+    std::shared_ptr<server_state> server;
     int descriptor = -1;
     std::chrono::steady_clock::time_point started;
     answer_phase phase = answer_phase::waiting;
@@ -116,6 +133,10 @@
     std::vector<http_header> answer_headers;
     std::string pending; ///< The complete body, or the unsent part of a stream.
     std::size_t pending_offset = 0;
+    std::size_t head_bytes = 0;     ///< Memory of the request's head.
+    std::size_t handled_bytes = 0;  ///< Memory of a complete request and its connection.
+    std::size_t response_bytes = 0; ///< Of a complete answer that is being sent.
+    bool is_given_up = false;       ///< The process held too much.
     std::atomic<bool> client_disconnected{false};
     std::function<void()> disconnect_action;
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,4 +1,6 @@
+#include <net/http_connection.hpp>
 #include <net/http_exchange.hpp>
+#include <net/socket_buffers.hpp>
 
 #include <algorithm>
 #include <atomic>
@@ -27,14 +29,9 @@
 /// Up to this many times the body limit is read and discarded, so that the client reads
 /// the refusal.
 constexpr std::size_t max_discard_factor = 16;
-
-/// The state of one open connection.
-struct connection_state
-{
-    int descriptor = -1;
-    bool awaits_head = true; ///< No request is open, or its head is incomplete.
-    steady_clock::time_point head_deadline;
-};
+/// The library parses a head in place, beside what it reads next.
+constexpr std::size_t header_copies = 2;
+constexpr std::size_t tls_memory = 64 << 10; // bytes of a session
 
 class server_impl final : public http_server
 {
@@ -43,6 +40,10 @@
         : options(initial_options)
         , handler(&request_handler)
     {
+        this->current_state->budget.set_limits(
+            held_memory_limit(this->options.memory_bytes),
+            std::min<std::size_t>(this->options.max_connections,
+                                  connection_limit_of(descriptor_limit())));
     }
 
     ~server_impl() override { this->shut_down(); }
@@ -66,7 +67,7 @@
     {
         if (!this->quiesced.exchange(true))
         {
-            this->current_state.closing = true;
+            this->current_state->closing = true;
             const int socket = static_cast<int>(MHD_quiesce_daemon(this->daemon));
             if (socket >= 0)
             {
@@ -75,7 +76,7 @@
         }
     }
 
-    void close_after_answers() override { this->current_state.closing = true; }
+    void close_after_answers() override { this->current_state->closing = true; }
 
     void answer_open(const std::function<void(http_exchange&)>& answer,
                      std::chrono::milliseconds max_wait) override
@@ -91,18 +92,18 @@
 
     /// Tracks a new connection. Its first request head must be complete within the
     /// request time-out.
-    [[nodiscard]] connection_state* add_connection(int descriptor)
+    [[nodiscard]] http_connection* add_connection(int descriptor)
     {
-        const std::scoped_lock lock(this->mutex);
-        auto created = std::make_unique<connection_state>();
-        created->descriptor = descriptor;
+        auto created = std::make_unique<http_connection>(
+            this->current_state->budget, descriptor, this->connection_memory());
         created->head_deadline = steady_clock::now() + this->options.request_timeout;
-        connection_state* const key = created.get();
+        http_connection* const key = created.get();
+        const std::scoped_lock lock(this->mutex);
         this->connections.emplace(key, std::move(created));
         return key;
     }
 
-    void remove_connection(connection_state* tracked)
+    void remove_connection(http_connection* tracked)
     {
         const std::scoped_lock lock(this->mutex);
         this->connections.erase(tracked);
@@ -110,7 +111,7 @@
 
     /// Adds the exchange of a request whose head is complete.
     void add_exchange(const std::shared_ptr<exchange_impl>& exchange,
-                      connection_state* tracked)
+                      http_connection* tracked)
     {
         const std::scoped_lock lock(this->mutex);
         this->open.insert(exchange);
@@ -120,8 +121,9 @@
     /// Removes the exchange of a finished request. The connection may then be idle and
     /// receive another request.
     void remove_exchange(const std::shared_ptr<exchange_impl>& exchange,
-                         connection_state* tracked)
+                         http_connection* tracked)
     {
+        tracked->hold();
         const std::scoped_lock lock(this->mutex);
         this->open.erase(exchange);
         tracked->awaits_head = true;
@@ -130,11 +132,19 @@
         this->exchange_ended.notify_all();
     }
 
-    server_state current_state;
+    /// Returns the memory of the library for one connection.
+    [[nodiscard]] std::size_t connection_memory() const noexcept
+    {
+        return this->options.max_header_bytes * header_copies +
+               (this->options.certificate.empty() ? 0 : tls_memory);
+    }
+
+    std::shared_ptr<server_state> current_state = std::make_shared<server_state>();
     http_server_options options;
     http_handler* handler;
 
   private:
+    void limit_sockets() const;
     void run_checks();
     void close_slow_connections();
     void shut_down();
@@ -148,7 +158,7 @@
     std::condition_variable exchange_ended;
     bool stop_requested = false;
     std::unordered_set<std::shared_ptr<exchange_impl>> open;
-    std::unordered_map<connection_state*, std::unique_ptr<connection_state>> connections;
+    std::unordered_map<http_connection*, std::unique_ptr<http_connection>> connections;
     std::thread checker;
 };
 
@@ -185,16 +195,20 @@
     MHD_add_response_header(response, "Content-Type", "application/json");
     MHD_add_response_header(response, "x-agateseam-run", "not_run");
     MHD_add_response_header(response, "Connection", "close");
+    if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+    {
+        MHD_add_response_header(response, "Retry-After", "1");
+    }
     const MHD_Result queue_result = MHD_queue_response(connection, status, response);
     MHD_destroy_response(response);
     return queue_result;
 }
 
-[[nodiscard]] connection_state* state_of(MHD_Connection* connection)
+[[nodiscard]] http_connection* state_of(MHD_Connection* connection)
 {
     const MHD_ConnectionInfo* info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    return static_cast<connection_state*>(info->socket_context);
+    return static_cast<http_connection*>(info->socket_context);
 }
 
 void on_connection(void* context, MHD_Connection* connection, void** socket_context,
@@ -208,7 +222,7 @@
         *socket_context = server.add_connection(info->connect_fd);
         return;
     }
-    server.remove_connection(static_cast<connection_state*>(*socket_context));
+    server.remove_connection(static_cast<http_connection*>(*socket_context));
 }
 
 MHD_Result begin_request(server_impl& server, MHD_Connection* connection, const char* url,
@@ -227,6 +241,7 @@
     {
         return reject(connection, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
     }
+    exchange->set_head_bytes();
     *context = new std::shared_ptr<exchange_impl>(exchange);
     server.add_exchange(exchange, state_of(connection));
     return MHD_YES;
@@ -239,20 +254,12 @@
 {
     const auto age = steady_clock::now() - exchange.start_time();
     const std::size_t limit = server.options.max_body_bytes;
-    exchange.received += *size;
+    exchange.append_body({data, *size}, limit);
     if (exchange.received > limit * max_discard_factor ||
         age > server.options.request_timeout)
     {
         return MHD_NO;
     }
-    if (exchange.received > limit)
-    {
-        std::string().swap(exchange.parsed.body);
-    }
-    else
-    {
-        exchange.parsed.body.append(data, *size);
-    }
     *size = 0;
     return MHD_YES;
 }
@@ -277,7 +284,12 @@
     }
     if (!exchange->body_complete)
     {
-        exchange->body_complete = true;
+        http_connection& tracked = *state_of(connection);
+        tracked.lend();
+        if (!exchange->complete_request(tracked.memory_size()))
+        {
+            return reject(connection, MHD_HTTP_SERVICE_UNAVAILABLE, "overloaded");
+        }
         server.handler->handle(exchange);
     }
     return exchange->queue_or_suspend();
@@ -334,7 +346,7 @@
         {MHD_OPTION_CONNECTION_LIMIT,
          static_cast<intptr_t>(this->options.max_connections), nullptr},
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-         static_cast<intptr_t>(this->options.max_header_bytes * 2), nullptr},
+         static_cast<intptr_t>(this->options.max_header_bytes * header_copies), nullptr},
         {MHD_OPTION_CONNECTION_TIMEOUT,
          static_cast<intptr_t>(this->options.idle_timeout.count()), nullptr},
         {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
@@ -360,10 +372,22 @@
     const MHD_DaemonInfo* info =
         MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_BIND_PORT);
     this->bound_port = info != nullptr ? info->port : this->options.port;
+    this->limit_sockets();
     this->checker = std::thread([this] { this->run_checks(); });
     return {};
 }
 
+/// Limits what the kernel keeps for the connections that are accepted from now on.
+void server_impl::limit_sockets() const
+{
+    const MHD_DaemonInfo* info =
+        MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    if (info != nullptr)
+    {
+        limit_socket_buffers(info->listen_fd);
+    }
+}
+
 std::vector<std::shared_ptr<exchange_impl>> server_impl::exchanges() const
 {
     const std::scoped_lock lock(this->mutex);
@@ -396,7 +420,7 @@
     {
         if (tracked->awaits_head && now > tracked->head_deadline)
         {
-            ::shutdown(tracked->descriptor, SHUT_RDWR);
+            tracked->shut_down();
         }
     }
 }
@@ -415,7 +439,7 @@
     if (this->daemon != nullptr)
     {
         this->quiesce();
-        this->current_state.stopping = true;
+        this->current_state->stopping = true;
         for (const auto& exchange : this->exchanges())
         {
             exchange->stop();
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <agateseam/error.hpp>
+#include <net/machine_limits.hpp>
 
 namespace agateseam
 {
@@ -96,6 +97,7 @@
     unsigned max_connections = 20'000;
     std::size_t max_header_bytes = 32 * 1024;
     std::size_t max_body_bytes = 8 * 1024 * 1024;
+    std::size_t memory_bytes = machine_memory_bytes(); ///< For the process.
     std::chrono::seconds idle_timeout{30}; ///< Time without a byte, outside an answer.
     std::chrono::milliseconds request_timeout{20'000}; ///< For a head or a body.
     std::string certificate; ///< PEM text; TLS is used when it is not empty.
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <net/socket_buffers.hpp>
+
 namespace agateseam
 {
 
@@ -246,7 +248,6 @@
     io_error ignored; // The connection works without the option.
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->socket.non_blocking(true, ignored);
-    limit_unsent_bytes(this->socket);
 }
 
 caller_connection::~caller_connection()
--- a/src/transport/caller_listener.cpp
+++ b/src/transport/caller_listener.cpp
@@ -1,5 +1,7 @@
 #include <transport/caller_listener.hpp>
 
+#include <net/socket_buffers.hpp>
+
 namespace agateseam
 {
 
@@ -32,9 +34,7 @@
     io_error fault;
     listener->acceptor.open(endpoint->protocol(), fault);
     listener->acceptor.set_option(asio::socket_base::reuse_address(true), fault);
-    // Accepted sockets inherit it.
-    listener->acceptor.set_option(
-        asio::socket_base::receive_buffer_size(receive_buffer_size), fault);
+    limit_socket_buffers(listener->acceptor.native_handle());
     listener->acceptor.bind(*endpoint, fault);
     if (!fault)
     {
--- a/src/transport/endpoint.cpp
+++ b/src/transport/endpoint.cpp
@@ -1,20 +1,10 @@
 #include <transport/endpoint.hpp>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <boost/beast/http/status.hpp>
 
 namespace agateseam
 {
 
-namespace
-{
-
-constexpr int max_unsent_bytes = 65'536; // in the kernel, for each connection
-
-} // namespace
-
 result<tcp_endpoint> parse_endpoint(std::string_view address)
 {
     const std::size_t colon = address.rfind(':');
@@ -40,13 +30,6 @@
     return tcp_endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
-void limit_unsent_bytes(tcp_socket& socket) noexcept
-{
-    // Unlike a fixed send buffer, it doesn't slow down a peer that is far away.
-    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max_unsent_bytes,
-               sizeof max_unsent_bytes);
-}
-
 std::string_view reason_phrase(int status) noexcept
 {
     const auto phrase = boost::beast::http::obsolete_reason(
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <net/socket_buffers.hpp>
 #include <transport/endpoint.hpp>
 
 namespace agateseam
@@ -110,7 +111,7 @@
                       (this->parser ? this->parser->memory_size() : 0) +
                       this->input.capacity() + this->kept_by_reader;
     resources.kind = this->is_idle ? hold_kind::awaits_peer : hold_kind::in_progress;
-    resources.is_connection = this->socket.is_open();
+    resources.connections = this->socket.is_open() ? 1 : 0;
     resources.since = this->is_idle ? this->idle_since : this->request_sent_at;
     process_memory_budget().update(*this, resources, boot_now());
 }
@@ -158,9 +159,10 @@
     connect_timer.arm(timeout, [self] { self->close(); });
     io_error fault;
     this->socket.open(endpoint->protocol(), fault);
-    io_error ignored; // The connection works without the option.
-    this->socket.set_option(asio::socket_base::receive_buffer_size(receive_buffer_size),
-                            ignored);
+    if (!fault)
+    {
+        limit_socket_buffers(this->socket.native_handle());
+    }
     this->set_in_use();
     if (!fault)
     {
--- a/tests/unit/memory_budget_test.cpp
+++ b/tests/unit/memory_budget_test.cpp
@@ -34,7 +34,7 @@
 
     void hold(std::size_t bytes, hold_kind kind, time_point since, time_point now)
     {
-        this->resources = {bytes, kind, true, since};
+        this->resources = {bytes, kind, 1, since};
         this->budget->update(*this, this->resources, now);
     }
 
@@ -48,7 +48,7 @@
         if (this->releases_at_once)
         {
             this->resources.bytes = 0;
-            this->resources.is_connection = false;
+            this->resources.connections = 0;
             this->budget->update(*this, this->resources, start);
         }
     }
