--- a/fakes/caller_crowd.py
+++ b/fakes/caller_crowd.py
@@ -40,6 +40,17 @@
             return False  # The peer refused the rest.
         return bool(self.blocks)
 
+    def read_available(self):
+        """Returns what has arrived."""
+        self.socket.setblocking(False)
+        received = b""
+        try:
+            while part := self.socket.recv(SEND_BYTES):
+                received += part
+        except OSError:
+            pass  # Nothing more has arrived, or the connection was reset.
+        return received
+
 
 class Crowd:
     """Opens one connection for each list of blocks and sends until nothing moves any more.
--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -272,6 +272,18 @@
     {
         return "server " + server + " ran it and answered with its own failure";
     }
+    if (outcome == "overloaded")
+    {
+        return "the entry held too much for its memory or its descriptors, and refused "
+               "it "
+               "before any server had it";
+    }
+    if (outcome == "broken_off")
+    {
+        return "the entry held too much for its memory or its descriptors, and closed "
+               "the "
+               "connection";
+    }
     if (outcome == "caller_gone")
     {
         return "the caller closed its connection after " + integer_text(*end, "took_ms") +
--- a/tests/site/misbehaving_callers_test.py
+++ b/tests/site/misbehaving_callers_test.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import os
+import re
 import sys
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import run  # noqa: E402
 from caller_crowd import Crowd, chunks, peak_memory_mb, unread_mb  # noqa: E402
 from path_test import check  # noqa: E402
-from platform_site import Site, configuration, route  # noqa: E402
+from platform_site import Site, configuration, route, wait_for  # noqa: E402
 
 MEMORY_MB = 48
 DESCRIPTORS = 256
@@ -124,6 +125,21 @@
                          at_servers=True)
 
 
+def test_a_refused_request_reaches_no_server(build, directory):
+    with CrowdedSite(build, directory) as site:
+        heads = length_heads(site, path="/held/crowd")
+        with Crowd(site.entries[0].callers, [[head, BODY] for head in heads]) as crowd:
+            answers = [caller.read_available() for caller in crowd.callers]
+        ids = [re.search(rb"Agateseam-Request-Id: (\w+)", head).group(1).decode()
+               for head in heads]
+        refused = {request for request, answer in zip(ids, answers)
+                   if answer.startswith(b"HTTP/1.1 503 ")}
+        received = {request.id for replica in site.replicas for request in replica.requests}
+        print(f"  {len(refused)} refused, {len(received & set(ids))} received by a server")
+        check(refused and received & set(ids))
+        check(not refused & received, refused & received)
+
+
 def test_whole_bodies_that_wait_for_a_decode_place(build, directory):
     with CrowdedSite(build, directory) as site:
         for replica in site.replicas_of("model", "decode"):
@@ -187,6 +203,16 @@
         site.check_crowd([[head + b"\r\n", BODY] for head in site.heads("GET", "/held/crowd")])
 
 
+def test_a_caller_that_sends_on_and_leaves_ends_its_request(build, directory):
+    """Guards against requests that go on because nothing is read behind them."""
+    with CrowdedSite(build, directory) as site:
+        head = site.head("GET", "/held/crowd") + b"\r\n"
+        with Crowd(site.entries[0].callers, [[head, BODY]]):
+            wait_for(site.replicas_of("held")[0].requests.__len__, "the request at its server")
+        wait_for(lambda: site.entries[0].log_lines("request")[-1]["outcome"] == "caller_gone",
+                 "the end of the request")
+
+
 def test_connections_without_a_request(build, directory):
     with CrowdedSite(build, directory) as site:
         site.check_crowd([[] for _ in range(IDLE_CALLERS)])
