Notice the end of a caller that sends on behind its request

Callers that had left kept their requests running, and others waited behind them. Cause: reading stopped once 64 KB stood behind a request that wasn't answered; the caller's close comes after its unread bytes and was never seen, so the request went on to its time limit (GONE).

Evidence: test_a_caller_that_sends_on_and_leaves_ends_its_request: the request was still at its server 10 s after the close, 3 of 3; now it ends, 3 of 3. A first form asked the kernel for the close while reading paused (POLLRDHUP); it changed nothing, since the close stays behind the bytes at the caller's host.

Change: reading goes on while a request is handled. What is read ahead counts in memory_budget among what is released first. A caller that sends more than a whole other request ahead is disconnected; pipelined requests of legal size are read as before.

--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -8,8 +8,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
-#include <net/socket_buffers.hpp>
-
 namespace agateseam
 {
 
@@ -18,7 +16,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t max_read_ahead = 65'536; // bytes buffered of later requests
+/// Bytes that are read before they are parsed. While a request is answered, its caller
+/// may send a whole other one, which counts as waiting for the caller from here on.
+constexpr std::size_t max_read_ahead = 65'536;
 /// Memory of a connection and its coroutines, without buffers.
 constexpr std::size_t connection_overhead = 4 << 10; // bytes
 /// Memory of a request that is handled, without its head and its body.
@@ -27,8 +27,6 @@
 constexpr std::size_t head_copies = 2;
 /// A larger input buffer is freed when it is empty.
 constexpr std::size_t max_empty_buffer = 4 << 10; // bytes
-/// The kernel counts up to twice the size of a receive buffer.
-constexpr std::size_t max_unread_input = std::size_t{2} * receive_buffer_size;
 /// After the sending side is closed, input is read and discarded for this long. Closing
 /// with unread input would send a reset, which could discard the answer at the caller.
 constexpr auto drain_time = 500ms;
@@ -335,10 +333,6 @@
 std::size_t caller_connection::held_bytes() const
 {
     std::size_t bytes = connection_overhead + this->input.capacity() + this->unread_bytes;
-    if (this->is_reading_paused())
-    {
-        bytes += max_unread_input;
-    }
     if (this->parser)
     {
         bytes += this->parser->memory_size();
@@ -353,7 +347,7 @@
 
 hold_kind caller_connection::held_kind() const
 {
-    if (this->exchange == nullptr || this->unread_bytes > 0 || this->is_reading_paused())
+    if (this->exchange == nullptr || this->unread_bytes > 0 || this->is_far_ahead())
     {
         return hold_kind::awaits_peer;
     }
@@ -361,7 +355,7 @@
                                                      : hold_kind::in_progress;
 }
 
-bool caller_connection::is_reading_paused() const noexcept
+bool caller_connection::is_far_ahead() const noexcept
 {
     return this->exchange != nullptr && this->input.size() >= max_read_ahead;
 }
@@ -384,9 +378,7 @@
     }
     else if (this->exchange != nullptr && !this->is_refused())
     {
-        this->exchange->is_broken_off = true;
-        this->exchange->response_started = true;
-        this->reset();
+        this->break_off();
     }
     else
     {
@@ -396,6 +388,15 @@
     this->update_held_resources();
 }
 
+/// Ends a request whose caller is at fault, or for which there is no memory.
+void caller_connection::break_off()
+{
+    this->exchange->is_broken_off = true;
+    this->exchange->response_started = true;
+    this->reset();
+    this->free_buffers();
+}
+
 /// Answers that the request hasn't run. It isn't sent to any server then.
 void caller_connection::refuse_overloaded()
 {
@@ -430,7 +431,7 @@
 
 void caller_connection::start_reading()
 {
-    if (this->reading || this->ended || this->input.size() >= max_read_ahead)
+    if (this->reading || this->ended || !this->may_read())
     {
         return;
     }
@@ -443,50 +444,68 @@
 /// Keeps reading while a request is answered, so that a disconnect is noticed.
 task<void> caller_connection::read_ahead()
 {
-    while (!this->ended && this->input.size() < max_read_ahead)
+    bool has_ended = false;
+    while (!this->ended && !has_ended && this->may_read())
     {
         io_error fault;
         co_await this->socket.async_wait(asio::socket_base::wait_read,
                                          store_error_in(fault));
-        if (fault)
+        std::size_t count = 0;
+        const auto bytes = shared_read_buffer();
+        if (!fault)
         {
-            break;
+            count =
+                this->socket.read_some(asio::buffer(bytes.data(), bytes.size()), fault);
         }
-        const auto bytes = shared_read_buffer();
-        const std::size_t count =
-            this->socket.read_some(asio::buffer(bytes.data(), bytes.size()), fault);
         if (fault == asio::error::would_block || fault == asio::error::try_again)
         {
             continue;
         }
-        if (fault || count == 0)
+        has_ended = fault || count == 0;
+        if (!has_ended)
         {
-            break;
-        }
-        this->latest_byte_at = boot_now();
-        if (!this->busy)
-        {
-            this->busy = true;
-            this->first_byte_at = this->latest_byte_at;
-        }
-        if (!this->is_refused())
-        {
-            this->input.append(bytes.data(), count);
-        }
-        this->state_changed.notify();
-        if (this->exchange != nullptr)
-        {
-            // A request that is received is counted when it has been parsed.
-            this->update_held_resources();
+            this->receive({bytes.data(), count});
         }
     }
     this->reading = false;
-    if (this->input.size() < max_read_ahead)
+    if (has_ended)
     {
         this->handle_disconnect();
     }
 }
 
+bool caller_connection::may_read() const noexcept
+{
+    return this->exchange != nullptr || this->input.size() < max_read_ahead;
+}
+
+void caller_connection::receive(std::string_view bytes)
+{
+    this->latest_byte_at = boot_now();
+    if (!this->busy)
+    {
+        this->busy = true;
+        this->first_byte_at = this->latest_byte_at;
+    }
+    if (!this->is_refused())
+    {
+        this->input.append(bytes);
+    }
+    this->state_changed.notify();
+    if (this->exchange == nullptr)
+    {
+        return; // Counted when it has been parsed.
+    }
+    const caller_limits limits = this->handler->limits();
+    if (this->input.size() >
+        std::max(max_read_ahead, limits.header_bytes) + limits.body_bytes)
+    {
+        this->handler->refused(status_bad_request, "sent too far ahead");
+        this->break_off();
+    }
+    this->update_held_resources();
+}
+
 task<bool> caller_connection::wait_for_bytes(time_point deadline)
 {
     this->start_reading();
--- a/src/transport/caller_connection.hpp
+++ b/src/transport/caller_connection.hpp
@@ -175,6 +175,9 @@
     task<void> wait_until_writable();
     task<void> drain_before_close();
     void start_reading();
+    [[nodiscard]] bool may_read() const noexcept;
+    void receive(std::string_view bytes);
+    void break_off();
     void release(resource_shortage shortage) override;
     void refuse_overloaded();
     void reset();
@@ -185,8 +188,8 @@
     void update_held_resources();
     [[nodiscard]] std::size_t held_bytes() const;
     [[nodiscard]] hold_kind held_kind() const;
-    /// Tells whether reading pauses because the caller sends far ahead.
-    [[nodiscard]] bool is_reading_paused() const noexcept;
+    /// Tells whether the caller sends much behind a request that isn't answered.
+    [[nodiscard]] bool is_far_ahead() const noexcept;
     [[nodiscard]] bool is_refused() const noexcept
     {
         return this->phase == connection_phase::refused;
