Refuse a chunk header or a line without an end at once

A caller whose chunk header or header line doesn't end within 64 KB got no answer until its time was over (12 s, or longer by configuration), since reading had stopped and nothing could complete the request. It gets 400, or 431 within the head, as soon as that is known.

test_a_chunk_header_without_an_end_is_refused: no answer in 10 s before.

--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -610,6 +610,13 @@
             {
                 break;
             }
+            if (!this->may_read())
+            {
+                co_return co_await this->refuse(this->parser->is_header_done()
+                                                    ? status_bad_request
+                                                    : status_head_too_large,
+                                                "an element is too long");
+            }
             // A body has its time anew with each part that arrives.
             deadline =
                 this->parser->is_header_done()
--- a/tests/site/misbehaving_callers_test.py
+++ b/tests/site/misbehaving_callers_test.py
@@ -175,6 +175,14 @@
         site.check_crowd([[head, BODY * 4] for head in length] + [[head, body] for head in sent])
 
 
+def test_a_chunk_header_without_an_end_is_refused(build, directory):
+    with CrowdedSite(build, directory) as site:
+        head = site.head() + b"Transfer-Encoding: chunked\r\n\r\n"
+        with Crowd(site.entries[0].callers, [[head, b"5;" + b"x" * BODY_BYTES]]) as crowd:
+            wait_for(lambda: crowd.callers[0].read_available().startswith(b"HTTP/1.1 400 "),
+                     "the refusal")
+
+
 def test_heads_of_many_fields_that_stop_before_their_end(build, directory):
     with CrowdedSite(build, directory) as site:
         site.check_crowd([[head + b"a:\r\n" * ((HEADER_BYTES - len(head)) // 4 - 1)]
