--- a/src/gateway/entry_handlers.cpp
+++ b/src/gateway/entry_handlers.cpp
@@ -1,5 +1,6 @@
 #include <gateway/entry_handlers.hpp>
 
+#include <agateseam/memory_budget.hpp>
 #include <gateway/request_scope.hpp>
 
 namespace agateseam
@@ -29,6 +30,11 @@
 {
     caller_answer_head head;
     head.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    const memory_budget& budget = process_memory_budget();
+    entry_counters& counters = this->state->counters;
+    counters.set("agateseam_held_bytes", static_cast<double>(budget.bytes()));
+    counters.set("agateseam_held_connections", static_cast<double>(budget.connections()));
+    counters.set("agateseam_held_releases", static_cast<double>(budget.releases()));
     co_await exchange.answer(std::move(head), this->state->counters.text());
 }
 
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <pcg_random.hpp>
 
 namespace agateseam
 {
@@ -42,14 +44,29 @@
 constexpr int status_overloaded = 503;
 constexpr int http_1_1 = 11;
 
-/// Tells a caller that its request hasn't run and never will.
-constexpr std::string_view overload_answer =
-    "HTTP/1.1 503 Service Unavailable\r\n"
-    "Content-Type: application/json\r\n"
-    "Content-Length: 47\r\n"
-    "Retry-After: 1\r\n"
-    "Connection: close\r\n\r\n"
-    R"({"error":{"code":"overloaded","run":"not_run"}})";
+/// Refused callers come back within this time, at random, so that not all of them do at
+/// once.
+constexpr auto min_overload_retry_after = 500ms;
+constexpr std::uint32_t overload_retry_spread_ms = 1'000;
+
+/// Returns an answer that tells a caller that its request hasn't run and never will.
+std::string make_overload_answer()
+{
+    static thread_local pcg32 random(
+        static_cast<std::uint64_t>(boot_now().time_since_epoch().count()));
+    constexpr std::string_view body =
+        R"({"error":{"code":"overloaded","run":"not_run"}})";
+    const auto retry_after = min_overload_retry_after +
+                             std::chrono::milliseconds(random(overload_retry_spread_ms));
+    char seconds[32];
+    std::snprintf(seconds, sizeof seconds, "%.3f",
+                  std::chrono::duration<double>(retry_after).count());
+    return "HTTP/1.1 " + std::to_string(status_overloaded) + " " +
+           std::string(reason_phrase(status_overloaded)) +
+           "\r\nContent-Type: application/json\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\nRetry-After: " + seconds +
+           "\r\nConnection: close\r\n\r\n" + std::string(body);
+}
 
 /// Tells whether the body's length is unambiguous. Otherwise a backend server could see
 /// the request end elsewhere, which allows request smuggling.
@@ -403,7 +420,7 @@
     this->handler->refused(status_overloaded, "the process holds too much");
     this->keep_alive = false;
     io_error ignored; // A caller that reads nothing doesn't get the refusal.
-    this->socket.write_some(asio::buffer(overload_answer), ignored);
+    this->socket.write_some(asio::buffer(make_overload_answer()), ignored);
     this->enter(connection_phase::refused);
     this->state_changed.notify();
     this->run_disconnect_action();
