Release by cost over all kinds; tell refused requests by their exchange

Now there is one order, in bytes by time: in progress counts as new and by a tenth, what waits for a server by a quarter. Over the limit of connections the kinds still go first.

Second: a request that was refused and whose connection was then closed was taken for one whose caller left, and kept its tokens; and a refusal could have followed another answer on a connection that is being closed. The exchange has the flag now, and a refused connection has its phase from any refusal on.

--- a/include/agateseam/memory_budget.hpp
+++ b/include/agateseam/memory_budget.hpp
@@ -12,7 +12,7 @@
 namespace agateseam
 {
 
-/// \brief What held memory waits for. Holders of an earlier kind are released first.
+/// \brief What held memory waits for.
 enum class hold_kind : std::uint8_t
 {
     awaits_peer,   ///< Idle connections, unfinished requests, answers that aren't read.
@@ -70,10 +70,11 @@
 ///
 /// Load pattern: hundreds of callers send large requests and stop just before the end,
 /// don't read their answers, or open connections and send nothing, beside ordinary
-/// callers. Of the first kind that has any, those go first that have cost the most: bytes
-/// by time, so that a request that is being sent at the usual pace outlives stalled ones
-/// of any size. Among requests in progress the largest goes first, since a long stream
-/// isn't at fault for its age.
+/// callers and servers whose answers don't end. Those go first that have cost the most:
+/// bytes by time, so that a request that is being sent at the usual pace outlives stalled
+/// ones of any size. What is in progress costs only by its size, since a long stream
+/// isn't at fault for its age. Of connections, idle ones and unfinished requests go
+/// first.
 ///
 /// All functions may be called from any thread; `release` may call `update` and `remove`.
 class memory_budget
--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -15,22 +15,48 @@
 
 /// Added to the age of what is held, so that of new holders the larger costs more.
 constexpr auto min_age = 50ms;
+/// What waits for a server costs this part of what waits for its caller.
+constexpr double queued_weight = 0.25;
+/// What is in progress counts as new, and costs this part of what waits for its caller:
+/// an endless answer more than a new request, a large request less than connections that
+/// were idle for seconds.
+constexpr double in_progress_weight = 0.1;
 /// Releasing goes on until this part of the limit is free, so that it isn't needed again
 /// with the next bytes.
 constexpr std::size_t free_part_divisor = 16;
 
-/// Returns what a holder has cost, to compare it with others of its kind.
+/// Returns what a holder has cost, in byte seconds.
 double cost_of(const held_resources& held, time_point now)
 {
-    const auto bytes = static_cast<double>(held.bytes);
-    if (held.kind == hold_kind::in_progress)
+    duration age = std::max(now - held.since, duration::zero());
+    double weight = 1;
+    if (held.kind == hold_kind::awaits_server)
     {
-        return bytes;
+        weight = queued_weight;
     }
-    const duration age = std::max(now - held.since, duration::zero()) + duration(min_age);
-    return bytes * std::chrono::duration<double>(age).count();
+    else if (held.kind == hold_kind::in_progress)
+    {
+        age = duration::zero();
+        weight = in_progress_weight;
+    }
+    return weight * static_cast<double>(held.bytes) *
+           std::chrono::duration<double>(age + duration(min_age)).count();
 }
 
+/// The rank of a holder among those that can be released; the highest goes first.
+struct release_rank
+{
+    int kind = 0; ///< Only for connections, of which each holder frees about one.
+    double cost = 0;
+    memory_holder* holder = nullptr;
+
+    [[nodiscard]] bool operator>(const release_rank& other) const noexcept
+    {
+        return this->kind != other.kind ? this->kind > other.kind
+                                        : this->cost > other.cost;
+    }
+};
+
 } // namespace
 
 void memory_budget::set_limits(std::size_t bytes, std::size_t connections)
@@ -175,32 +201,27 @@
                : holder.counted.connections > 0 && !holder.has_closed_connection;
 }
 
-/// Returns the holders that are to be released first, in that order.
+/// Returns the holders that can be released, in that order.
 std::vector<memory_holder*> memory_budget::candidates(resource_shortage shortage,
                                                       time_point now) const
 {
-    std::vector<std::pair<double, memory_holder*>> ranked;
-    hold_kind first_kind = hold_kind::in_progress;
+    std::vector<release_rank> ranked;
     for (memory_holder* const holder : this->holders)
     {
-        const held_resources& held = holder->counted;
-        if (!is_candidate(*holder, shortage) || held.kind > first_kind)
-        {
-            continue;
-        }
-        if (held.kind < first_kind)
+        if (is_candidate(*holder, shortage))
         {
-            first_kind = held.kind;
-            ranked.clear();
+            const int kind = shortage == resource_shortage::connections
+                                 ? -static_cast<int>(holder->counted.kind)
+                                 : 0;
+            ranked.push_back({kind, cost_of(holder->counted, now), holder});
         }
-        ranked.emplace_back(cost_of(held, now), holder);
     }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     std::vector<memory_holder*> ordered;
     ordered.reserve(ranked.size());
-    for (const auto& [cost, holder] : ranked)
+    for (const release_rank& rank : ranked)
     {
-        ordered.push_back(holder);
+        ordered.push_back(rank.holder);
     }
     return ordered;
 }
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -127,12 +127,7 @@
 
 bool caller_exchange::disconnected() const noexcept
 {
-    return this->connection->ended || this->connection->is_refused();
-}
-
-bool caller_exchange::refused() const noexcept
-{
-    return this->connection->is_refused();
+    return this->connection->ended || this->is_refused;
 }
 
 bool caller_exchange::begin_send()
@@ -186,6 +181,10 @@
 
 task<bool> caller_exchange::answer(caller_answer_head head, std::string body)
 {
+    if (this->is_refused)
+    {
+        co_return false;
+    }
     this->response_started = true;
     const bool states_length = !find_header(head.fields, "Content-Length").empty();
     std::string text = this->render_head(
@@ -200,6 +199,10 @@
 
 task<bool> caller_exchange::begin(caller_answer_head head)
 {
+    if (this->is_refused)
+    {
+        co_return false;
+    }
     this->response_started = true;
     this->chunked = this->received_request.head.version >= http_1_1;
     if (!this->chunked)
@@ -379,13 +382,14 @@
 
 void caller_connection::release(resource_shortage shortage)
 {
-    const bool can_refuse = this->phase == connection_phase::receiving ||
-                            this->phase == connection_phase::handling;
+    const bool is_answering = this->unread_bytes > 0 ||
+                              (this->exchange != nullptr && this->exchange->answered());
     if (this->phase == connection_phase::closed)
     {
         // The request ends soon, and its memory with it.
     }
-    else if (can_refuse && !(this->exchange && this->exchange->answered()))
+    else if (!is_answering && (this->phase == connection_phase::receiving ||
+                               this->phase == connection_phase::handling))
     {
         this->refuse_overloaded();
         if (shortage == resource_shortage::connections)
@@ -393,7 +397,7 @@
             this->close();
         }
     }
-    else if (this->exchange != nullptr && !this->is_refused())
+    else if (this->exchange != nullptr && !this->exchange->refused())
     {
         this->break_off();
     }
@@ -419,6 +423,10 @@
 {
     this->handler->refused(status_overloaded, "the process holds too much");
     this->keep_alive = false;
+    if (this->exchange != nullptr)
+    {
+        this->exchange->is_refused = true;
+    }
     io_error ignored; // A caller that reads nothing doesn't get the refusal.
     this->socket.write_some(asio::buffer(make_overload_answer()), ignored);
     this->enter(connection_phase::refused);
@@ -564,7 +572,7 @@
     }
     this->disconnect_action = nullptr;
     this->busy = false;
-    if (!current.answered() && !this->is_refused())
+    if (!current.answered() && !current.refused())
     {
         current.abort();
     }
@@ -645,6 +653,10 @@
         {
             continue_sent = true;
             co_await this->write("HTTP/1.1 100 Continue\r\n\r\n");
+            if (this->is_refused())
+            {
+                co_return read_outcome::refused;
+            }
             // The body may have arrived meanwhile, which wakes nobody.
             continue;
         }
@@ -678,6 +690,7 @@
                                                                 std::string_view reason)
 {
     this->keep_alive = false;
+    this->enter(connection_phase::refused);
     this->handler->refused(status, reason);
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     text += reason_phrase(status);
@@ -690,7 +703,7 @@
 {
     const std::size_t size = head.size() + body.size();
     std::size_t sent = 0;
-    while (!this->ended && !this->is_refused() && sent < size)
+    while (!this->ended && sent < size)
     {
         const std::size_t sent_of_head = std::min(sent, head.size());
         const std::array<asio::const_buffer, 2> rest{asio::buffer(head) + sent_of_head,
@@ -709,7 +722,7 @@
             this->handle_disconnect();
         }
     }
-    co_return !this->ended && !this->is_refused();
+    co_return !this->ended;
 }
 
 /// Waits until the caller has read a part of what it was sent. A caller that reads
--- a/src/transport/caller_connection.hpp
+++ b/src/transport/caller_connection.hpp
@@ -53,7 +53,7 @@
     [[nodiscard]] bool disconnected() const noexcept;
 
     /// \brief Tells whether the caller got "not run" because the process held too much.
-    [[nodiscard]] bool refused() const noexcept;
+    [[nodiscard]] bool refused() const noexcept { return this->is_refused; }
 
     /// \brief Tells whether the connection was closed because the process held too much.
     [[nodiscard]] bool broken_off() const noexcept { return this->is_broken_off; }
@@ -100,6 +100,7 @@
     caller_request received_request;
     bool response_started = false;
     bool chunked = false;
+    bool is_refused = false;
     bool is_broken_off = false;
 };
 
