--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -66,6 +66,7 @@
     const sigset_t signals = termination_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    return_large_buffers();
     start_log(settings.vm, settings.log);
     auto running =
         settings.role == daemon_role::entry ? make_entry(settings) : make_agent(settings);
--- a/src/net/machine_limits.cpp
+++ b/src/net/machine_limits.cpp
@@ -1,5 +1,6 @@
 #include <net/machine_limits.hpp>
 
+#include <malloc.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -12,6 +13,7 @@
 /// Used if the system doesn't tell, which Linux always does.
 constexpr std::size_t fallback_memory = std::size_t{256} << 20; // bytes
 constexpr std::size_t fallback_descriptors = 1'024;
+constexpr int large_buffer_size = 128 << 10; // bytes
 
 } // namespace
 
@@ -32,4 +34,9 @@
                : fallback_descriptors;
 }
 
+void return_large_buffers() noexcept
+{
+    ::mallopt(M_MMAP_THRESHOLD, large_buffer_size);
+}
+
 } // namespace agateseam
--- a/src/net/machine_limits.hpp
+++ b/src/net/machine_limits.hpp
@@ -12,4 +12,8 @@
 /// \brief Returns how many file descriptors the process may have open.
 [[nodiscard]] std::size_t descriptor_limit() noexcept;
 
+/// \brief Makes the allocator return large buffers to the system when they are freed. By
+/// default it keeps them once some were freed, in a heap with gaps.
+void return_large_buffers() noexcept;
+
 } // namespace agateseam
