Accept a fraction in descriptors; one clock and plainer texts

The platform may write whole numbers with a fraction, as it did for times. The server's connection and exchange read the time from the clock source; agateseam explain names what may be behind broken_off. Settings tests read the new keys.

--- a/src/core/request_explanation.cpp
+++ b/src/core/request_explanation.cpp
@@ -274,15 +274,13 @@
     }
     if (outcome == "overloaded")
     {
-        return "the entry held too much for its memory or its descriptors, and refused "
-               "it "
-               "before any server had it";
+        return "no server had it when the entry refused it, because it held too much for "
+               "its memory or its descriptors";
     }
     if (outcome == "broken_off")
     {
-        return "the entry held too much for its memory or its descriptors, and closed "
-               "the "
-               "connection";
+        return "the entry closed its connection, because it held too much for its memory "
+               "or its descriptors, or because the caller sent too far ahead";
     }
     if (outcome == "caller_gone")
     {
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -23,8 +23,8 @@
 constexpr double max_window_s = 3'600;
 constexpr double max_tokens = 1e15;
 constexpr double max_memory_mb = 1e9;
-constexpr std::int64_t min_descriptors = 64;
-constexpr std::int64_t max_descriptors = 1 << 30;
+constexpr double min_descriptors = 64;
+constexpr double max_descriptors = 1e9;
 constexpr double max_link_mbps = 1e9;
 constexpr double default_memory_mb = 256;
 constexpr double bytes_per_mb = 1 << 20;
@@ -128,8 +128,8 @@
             section.number("memory_mb", 1, max_memory_mb, default_memory_mb) *
             bytes_per_mb);
         settings.descriptors = static_cast<std::size_t>(
-            section.integer("descriptors", min_descriptors, max_descriptors,
-                            static_cast<std::int64_t>(settings.descriptors)));
+            section.number("descriptors", min_descriptors, max_descriptors,
+                           static_cast<double>(settings.descriptors)));
         settings.link_mbps = section.number("link_mbps", 0, max_link_mbps, 0);
         settings.log =
             parse_log_level(section.one_of("log", {"debug", "info", "warning"}, "info"));
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <agateseam/clock.hpp>
+
 namespace agateseam
 {
 
@@ -10,11 +12,6 @@
 
 constexpr std::size_t connection_overhead = 2 << 10; // bytes
 
-time_point steady_now() noexcept
-{
-    return time_point{std::chrono::steady_clock::now().time_since_epoch()};
-}
-
 } // namespace
 
 http_connection::http_connection(memory_budget& shared_budget, int socket,
@@ -33,14 +30,14 @@
 
 void http_connection::hold()
 {
-    const time_point now = steady_now();
+    const time_point now = steady_clock_source{}.now();
     this->budget->update(*this, {this->memory_bytes, hold_kind::awaits_peer, 1, now},
                          now);
 }
 
 void http_connection::lend()
 {
-    const time_point now = steady_now();
+    const time_point now = steady_clock_source{}.now();
     this->budget->update(*this, {0, hold_kind::awaits_peer, 0, now}, now);
 }
 
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -5,6 +5,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <agateseam/clock.hpp>
+
 namespace agateseam
 {
 
@@ -23,11 +25,6 @@
 /// The head is held by the library and, parsed, here.
 constexpr std::size_t header_overhead = 128; // bytes
 
-time_point steady_now() noexcept
-{
-    return time_point{steady_clock::now().time_since_epoch()};
-}
-
 ssize_t read_stream(void* context, std::uint64_t, char* buffer, std::size_t size)
 {
     return static_cast<exchange_impl*>(context)->read(buffer, size);
@@ -107,7 +104,7 @@
         const std::scoped_lock lock(this->mutex);
         resources = this->held_locked();
     }
-    this->server->budget.update(*this, resources, steady_now());
+    this->server->budget.update(*this, resources, steady_clock_source{}.now());
 }
 
 held_resources exchange_impl::held_locked() const
--- a/tests/unit/platform_documents_test.cpp
+++ b/tests/unit/platform_documents_test.cpp
@@ -266,11 +266,13 @@
     CHECK(!settings->pace_servers);
     const auto more = gateway_settings::parse(
         valid_settings.substr(0, valid_settings.size() - 1) +
-        R"(,"evacuation_ms":5000,"pace_servers":true,"regions":{"a":"r","b":"r"}})");
+        R"(,"evacuation_ms":5000,"pace_servers":true,"memory_mb":88,"descriptors":4100.0,"regions":{"a":"r","b":"r"}})");
     REQUIRE(more);
     CHECK(more->evacuation_time.count() == 5'000);
     CHECK(more->pace_servers);
     CHECK(more->regions.at("b") == "r");
+    CHECK(more->memory_bytes == std::size_t{88} << 20);
+    CHECK(more->descriptors == 4'100);
     const auto invalid_settings = gateway_settings::parse(
         R"({"vm":"v","callers":"nowhere","odd":1,"fleet":{"repeat_ratio":7},
         "evacuation_ms":-5,"regions":{"a":3}})");
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -10,7 +10,7 @@
 constexpr std::string_view valid_settings = R"({
     // An entry.
     "role": "entry", "vm": "entry-1", "failure_domain": "khomas-a",
-    "listen": {"port": 8080},
+    "listen": {"port": 8080, "memory_mb": 64},
     "platform_url": "http://127.0.0.1:1",
     "fleet_secret": "sixteen letters!", "operator_token": "sixteen letters!",
     "limits": {"lease_ms": 4000, "linger_ms": 50, "retry_ratio": 0.5}
@@ -24,6 +24,7 @@
     REQUIRE(settings);
     CHECK(settings->role == daemon_role::entry);
     CHECK(settings->listen.port == 8080);
+    CHECK(settings->listen.memory_bytes == std::size_t{64} << 20);
     CHECK(settings->limits.lease_lifetime == std::chrono::milliseconds(4'000));
     CHECK(settings->limits.linger == std::chrono::milliseconds(50));
     CHECK(settings->limits.retry_ratio == doctest::Approx(0.5));
