--- /dev/null
+++ b/tests/unit/store_session_test.cpp
@@ -0,0 +1,88 @@
+#include <doctest/doctest.h>
+
+#include <thread>
+
+#include <platform/store_session.hpp>
+
+using namespace agateseam;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+class silent_listener final : public platform_listener
+{
+  public:
+    void on_configuration(std::shared_ptr<const routing_table>, std::string) override {}
+    void on_servers(std::vector<backend_server>, bool) override {}
+    void on_server_changed(backend_server) override {}
+    void on_server_removed(std::string_view, bool) override {}
+    void on_evacuations(const std::vector<std::string>&, store_position,
+                        std::string_view) override
+    {
+    }
+    void on_evacuation_changed(std::string_view, bool, store_position,
+                               std::string_view) override
+    {
+    }
+    void on_entries(std::vector<registered_entry>) override {}
+    void on_store_reachability_changed(bool, std::string_view) override {}
+    void on_store_era_changed(std::uint64_t, std::uint64_t) override {}
+    [[nodiscard]] store_watch_plan plan_watch() const override { return {}; }
+};
+
+/// A session whose followers wait to call the store again.
+class failing_session
+{
+  public:
+    failing_session() { this->session.record_relay(false); }
+
+    /// Starts as many waits as follow from `failures` and `count` failed calls. Only the
+    /// last ones are counted, which are the longest.
+    void add_followers(int failures, int count)
+    {
+        for (int failure = 0; failure < failures + count; ++failure)
+        {
+            spawn(this->loop,
+                  [this, is_counted = failure >= failures]() -> task<void>
+                  {
+                      co_await this->session.wait_before_retry();
+                      this->retries += is_counted ? 1 : 0;
+                  });
+        }
+        this->loop.poll();
+    }
+
+    /// Records an answer of the store.
+    /// \returns the number of waits that it ends.
+    int answer()
+    {
+        const int before = this->retries;
+        this->session.record_relay(true);
+        this->loop.poll();
+        return this->retries - before;
+    }
+
+  private:
+    event_loop loop;
+    silent_listener listener;
+    store_session session{this->loop, "127.0.0.1:1", this->listener, 1};
+    int retries = 0;
+};
+
+} // namespace
+
+TEST_CASE("the end of an outage ends all waits before a retry")
+{
+    failing_session failing;
+    std::this_thread::sleep_for(store_availability::min_outage_time);
+    failing.add_followers(5, 6);
+    CHECK(failing.answer() == 6);
+}
+
+TEST_CASE("an answer after a short failure ends no wait before a retry")
+{
+    failing_session failing;
+    failing.add_followers(5, 6);
+    CHECK(failing.answer() == 0);
+}
