Cut long texts in the log, so that no line blocks

Callers saw: no answer at all, for as long as nobody reads the entry's log.

Cause: a pipe that is ready takes 4 KB without blocking. The id of a request is the caller's and may be as long as a head, so a line of 32 KB was written into a pipe with less room, and the only thread waited.

Change: texts are cut at 1,024 bytes; a line that is longer than a pipe takes at once is dropped and counted like others that nobody reads.

--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <climits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -103,6 +104,9 @@
 /// Lines dropped because standard output was not ready, since the last line logged.
 std::atomic<std::uint64_t> unread_lines{0};
 
+/// A longer text is cut. Some come from callers, such as a request's id.
+constexpr std::size_t max_text_bytes = 1'024;
+
 /// Writes to standard output unless that would block, because a stuck reader must not
 /// delay requests.
 class non_blocking_output final : public el::LogDispatchCallback
@@ -114,8 +118,9 @@
         const std::string line = message->logger()->logBuilder()->build(message, true);
         pollfd output{STDOUT_FILENO, POLLOUT, 0};
         // A pipe that poll reports as ready accepts a complete line of up to PIPE_BUF
-        // bytes.
-        const bool ready = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        // bytes. The write of a longer one could block.
+        const bool ready = line.size() <= PIPE_BUF && ::poll(&output, 1, 0) == 1 &&
+                           (output.revents & POLLOUT) != 0;
         if (!ready || ::write(STDOUT_FILENO, line.data(), line.size()) < 0)
         {
             unread_lines.fetch_add(1, std::memory_order_relaxed);
@@ -127,6 +132,12 @@
 {
     for (const log_field& field : fields)
     {
+        const auto* const text = std::get_if<std::string_view>(&field.value);
+        if (text != nullptr)
+        {
+            line[std::string(field.name)] = text->substr(0, max_text_bytes);
+            continue;
+        }
         std::visit([&](const auto& value) { line[std::string(field.name)] = value; },
                    field.value);
     }
@@ -208,9 +219,9 @@
     }
     nlohmann::ordered_json line = start_line(log_level::error, event);
     line["step"] = fault.step;
-    line["peer"] = fault.peer;
+    line["peer"] = fault.peer.substr(0, max_text_bytes);
     line["code"] = to_string(fault.code);
-    line["description"] = fault.description;
+    line["description"] = fault.description.substr(0, max_text_bytes);
     add_fields(line, fields);
     add_dropped_counts(line, *left_out);
     write(log_level::error, line);
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -1,8 +1,9 @@
 /// Writes logs as JSON lines to standard output, with easylogging++.
 ///
 /// Logging never blocks: a line is dropped when the reader of standard output doesn't
-/// keep up (counted in `unread`) or when its event exceeds its rate limit (counted in
-/// `left_out`). The counts stand in the next line that is written.
+/// keep up or the line is longer than a pipe takes at once (counted in `unread`), or when
+/// its event exceeds its rate limit (counted in `left_out`). The counts stand in the next
+/// line that is written. Texts of over 1,024 bytes are cut.
 #pragma once
 
 #include <cstdint>
--- a/tests/site/misbehaving_callers_test.py
+++ b/tests/site/misbehaving_callers_test.py
@@ -214,6 +214,25 @@
         site.check_served(site.get("/safe/a", Agateseam_Request_Id="7" * (HEADER_BYTES // 2)))
 
 
+def test_long_request_ids_while_nobody_reads_the_log(build, directory):
+    """Guards against log lines that are too long to be written without blocking."""
+    with CrowdedSite(build, directory) as site:
+        entry = site.entries[0]
+        entry.end()
+        entry.process.wait()
+        entry.process = subprocess.Popen([site.program, "--settings", entry.settings_path],
+                                         stdout=subprocess.PIPE)
+        wait_for(entry.is_ready, "the entry to be ready")
+        head = site.head("GET", "/safe/crowd").decode()
+        long_id = "7" * (HEADER_BYTES // 2)
+        head = re.sub(r"(Agateseam-Request-Id: )\w+", r"\g<1>" + long_id, head) + "\r\n"
+        with Crowd(entry.callers, [[head.encode() * 4]] * CALLERS):
+            site.check_beside()
+        site.check_after()
+        entry.end()
+        entry.process.stdout.close()
+
+
 def test_streams_that_are_not_read(build, directory):
     with CrowdedSite(build, directory) as site:
         for replica in site.replicas_of("model", "decode"):
