--- a/tests/site/misbehaving_callers_test.py
+++ b/tests/site/misbehaving_callers_test.py
@@ -208,6 +208,17 @@
                          receive_buffer=4096, reads_begin=True)
 
 
+def test_whole_requests_with_many_prompt_parts(build, directory):
+    """Guards against what is kept of a head beside its text."""
+    with CrowdedSite(build, directory) as site:
+        for replica in site.replicas_of("model", "decode"):
+            replica.capacity = 0
+        heads = length_heads(site, 2, path="/draft/crowd", Agateseam_Model="m",
+                             Agateseam_Token_Count="500,40")
+        field = b"Agateseam-Prompt-Prefix: " + b"a," * ((HEADER_BYTES - 1024) // 2) + b"\r\n"
+        site.check_crowd([[head[:-2], field, b"\r\n{}"] for head in heads])
+
+
 def test_a_long_request_id_is_answered(build, directory):
     """Guards against servers that seem to fail because they echo it."""
     with CrowdedSite(build, directory) as site:
