Split caller_connection.cpp

The exchange and what is held are in files of their own now. Nothing but the place of the code and of one constant changes.

--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <pcg_random.hpp>
 
 namespace agateseam
 {
@@ -18,17 +16,6 @@
 
 using namespace std::chrono_literals;
 
-/// Bytes that are read before they are parsed. While a request is answered, its caller
-/// may send a whole other one, which counts as waiting for the caller from here on.
-constexpr std::size_t max_read_ahead = 65'536;
-/// Memory of a connection and its coroutines, without buffers.
-constexpr std::size_t connection_overhead = 4 << 10; // bytes
-/// Memory of a request that is handled, without its head and its body.
-constexpr std::size_t exchange_overhead = 12 << 10; // bytes
-/// A head is held twice: as it was received and in what its handler makes of it.
-constexpr std::size_t head_copies = 2;
-/// A larger input buffer is freed when it is empty.
-constexpr std::size_t max_empty_buffer = 4 << 10; // bytes
 /// After the sending side is closed, input is read and discarded for this long. Closing
 /// with unread input would send a reset, which could discard the answer at the caller.
 constexpr auto drain_time = 500ms;
@@ -41,33 +28,8 @@
 constexpr int status_body_too_large = 413;
 constexpr int status_head_too_large = 431;
 constexpr int status_not_implemented = 501;
-constexpr int status_overloaded = 503;
 constexpr int http_1_1 = 11;
 
-/// Refused callers come back within this time, at random, so that not all of them do at
-/// once.
-constexpr auto min_overload_retry_after = 500ms;
-constexpr std::uint32_t overload_retry_spread_ms = 1'000;
-
-/// Returns an answer that tells a caller that its request hasn't run and never will.
-std::string make_overload_answer()
-{
-    static thread_local pcg32 random(
-        static_cast<std::uint64_t>(boot_now().time_since_epoch().count()));
-    constexpr std::string_view body =
-        R"({"error":{"code":"overloaded","run":"not_run"}})";
-    const auto retry_after = min_overload_retry_after +
-                             std::chrono::milliseconds(random(overload_retry_spread_ms));
-    char seconds[32];
-    std::snprintf(seconds, sizeof seconds, "%.3f",
-                  std::chrono::duration<double>(retry_after).count());
-    return "HTTP/1.1 " + std::to_string(status_overloaded) + " " +
-           std::string(reason_phrase(status_overloaded)) +
-           "\r\nContent-Type: application/json\r\nContent-Length: " +
-           std::to_string(body.size()) + "\r\nRetry-After: " + seconds +
-           "\r\nConnection: close\r\n\r\n" + std::string(body);
-}
-
 /// Tells whether the body's length is unambiguous. Otherwise a backend server could see
 /// the request end elsewhere, which allows request smuggling.
 bool has_unambiguous_framing(const message_head& head)
@@ -98,164 +60,8 @@
     return head.version >= http_1_1 || list_contains_token(connection, "keep-alive");
 }
 
-std::string to_hex(std::size_t value)
-{
-    static constexpr char digits[] = "0123456789abcdef";
-    std::string text;
-    do
-    {
-        text.insert(text.begin(), digits[value % 16]);
-        value /= 16;
-    } while (value > 0);
-    return text;
-}
-
 } // namespace
 
-std::string_view caller_request::path() const noexcept
-{
-    const std::string_view target = this->head.target;
-    return target.substr(0, target.find('?'));
-}
-
-caller_exchange::caller_exchange(caller_connection& exchange_connection,
-                                 caller_request request)
-    : connection(&exchange_connection)
-    , received_request(std::move(request))
-{
-}
-
-bool caller_exchange::disconnected() const noexcept
-{
-    return this->connection->ended || this->is_refused;
-}
-
-bool caller_exchange::begin_send()
-{
-    if (!this->disconnected() && this->connection->phase == connection_phase::handling)
-    {
-        this->connection->enter(connection_phase::sent);
-    }
-    return !this->disconnected();
-}
-
-void caller_exchange::on_disconnect(std::function<void()> action)
-{
-    this->connection->disconnect_action = std::move(action);
-}
-
-void caller_exchange::interrupt()
-{
-    this->connection->run_disconnect_action();
-}
-
-std::string caller_exchange::render_head(const caller_answer_head& head,
-                                         std::string_view framing)
-{
-    if (this->connection->handler->closing())
-    {
-        this->connection->keep_alive = false;
-    }
-    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
-    text += reason_phrase(head.status);
-    text += "\r\n";
-    for (const header_field& field : head.fields)
-    {
-        text += field.name;
-        text += ": ";
-        text += field.value;
-        text += "\r\n";
-    }
-    text += framing;
-    if (!this->connection->keep_alive)
-    {
-        text += "Connection: close\r\n";
-    }
-    else if (this->received_request.head.version < http_1_1)
-    {
-        text += "Connection: keep-alive\r\n";
-    }
-    text += "\r\n";
-    return text;
-}
-
-task<bool> caller_exchange::answer(caller_answer_head head, std::string body)
-{
-    if (this->is_refused)
-    {
-        co_return false;
-    }
-    this->response_started = true;
-    const bool states_length = !find_header(head.fields, "Content-Length").empty();
-    std::string text = this->render_head(
-        head,
-        states_length ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
-    if (this->received_request.head.method == "HEAD")
-    {
-        body.clear();
-    }
-    co_return co_await this->connection->write(std::move(text), std::move(body));
-}
-
-task<bool> caller_exchange::begin(caller_answer_head head)
-{
-    if (this->is_refused)
-    {
-        co_return false;
-    }
-    this->response_started = true;
-    this->chunked = this->received_request.head.version >= http_1_1;
-    if (!this->chunked)
-    {
-        this->connection->keep_alive = false;
-    }
-    std::string text =
-        this->render_head(head, this->chunked ? "Transfer-Encoding: chunked\r\n" : "");
-    co_return co_await this->connection->write(std::move(text));
-}
-
-task<bool> caller_exchange::send(std::string_view part)
-{
-    if (part.empty())
-    {
-        co_return true;
-    }
-    std::string text;
-    if (this->chunked)
-    {
-        text = to_hex(part.size()) + "\r\n";
-    }
-    text += part;
-    if (this->chunked)
-    {
-        text += "\r\n";
-    }
-    co_return co_await this->connection->write(std::move(text));
-}
-
-task<bool> caller_exchange::finish()
-{
-    if (!this->chunked)
-    {
-        co_return !this->disconnected();
-    }
-    co_return co_await this->connection->write("0\r\n\r\n");
-}
-
-void caller_exchange::abort()
-{
-    this->connection->keep_alive = false;
-    if (this->response_started && !this->chunked)
-    {
-        // Without chunks, only a TCP reset shows the caller that the answer is
-        // incomplete.
-        io_error ignored; // The connection is closed in any case.
-        this->connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    }
-    this->response_started = true;
-    this->connection->close();
-}
-
 caller_connection::caller_connection(event_loop& io_loop, tcp_socket accepted,
                                      caller_handler& request_handler)
     : loop(&io_loop)
@@ -324,136 +130,6 @@
     }
 }
 
-void caller_connection::enter(connection_phase next)
-{
-    this->phase = next;
-    this->held_since = boot_now();
-    process_memory_budget().renew(*this);
-    this->update_held_resources();
-}
-
-void caller_connection::set_unread_bytes(std::size_t bytes)
-{
-    if (this->unread_bytes == 0)
-    {
-        this->held_since = boot_now();
-    }
-    this->unread_bytes = bytes;
-    this->update_held_resources();
-}
-
-void caller_connection::update_held_resources()
-{
-    process_memory_budget().update(
-        *this,
-        {this->held_bytes(), this->held_kind(), this->socket.is_open(), this->held_since},
-        boot_now());
-}
-
-std::size_t caller_connection::held_bytes() const
-{
-    std::size_t bytes = connection_overhead + this->input.capacity() + this->unread_bytes;
-    if (this->parser)
-    {
-        bytes += this->parser->memory_size();
-    }
-    if (this->exchange != nullptr)
-    {
-        bytes += exchange_overhead + head_copies * this->request_head_bytes +
-                 this->exchange->received_request.body->capacity();
-    }
-    return bytes;
-}
-
-hold_kind caller_connection::held_kind() const
-{
-    if (this->exchange == nullptr || this->unread_bytes > 0 || this->is_far_ahead())
-    {
-        return hold_kind::awaits_peer;
-    }
-    return this->phase == connection_phase::handling ? hold_kind::awaits_server
-                                                     : hold_kind::in_progress;
-}
-
-bool caller_connection::is_far_ahead() const noexcept
-{
-    return this->exchange != nullptr && this->input.size() >= max_read_ahead;
-}
-
-void caller_connection::release(resource_shortage shortage)
-{
-    const bool is_answering = this->unread_bytes > 0 ||
-                              (this->exchange != nullptr && this->exchange->answered());
-    if (this->phase == connection_phase::closed)
-    {
-        // The request ends soon, and its memory with it.
-    }
-    else if (!is_answering && (this->phase == connection_phase::receiving ||
-                               this->phase == connection_phase::handling))
-    {
-        this->refuse_overloaded();
-        if (shortage == resource_shortage::connections)
-        {
-            this->close();
-        }
-    }
-    else if (this->exchange != nullptr && !this->exchange->refused())
-    {
-        this->break_off();
-    }
-    else
-    {
-        this->close();
-    }
-    this->free_buffers();
-    this->update_held_resources();
-}
-
-/// Ends a request whose caller is at fault, or for which there is no memory.
-void caller_connection::break_off()
-{
-    this->exchange->is_broken_off = true;
-    this->exchange->response_started = true;
-    this->reset();
-    this->free_buffers();
-}
-
-/// Answers that the request hasn't run. It isn't sent to any server then.
-void caller_connection::refuse_overloaded()
-{
-    this->handler->refused(status_overloaded, "the process holds too much");
-    this->keep_alive = false;
-    if (this->exchange != nullptr)
-    {
-        this->exchange->is_refused = true;
-    }
-    io_error ignored; // A caller that reads nothing doesn't get the refusal.
-    this->socket.write_some(asio::buffer(make_overload_answer()), ignored);
-    this->enter(connection_phase::refused);
-    this->state_changed.notify();
-    this->run_disconnect_action();
-}
-
-void caller_connection::free_buffers()
-{
-    // An assignment of an empty string would keep the memory.
-    std::string().swap(this->input);
-    this->parser.reset();
-    this->unread_bytes = 0; // The write ends with the connection.
-    if (this->exchange != nullptr)
-    {
-        this->exchange->received_request.body = std::make_shared<const std::string>();
-    }
-}
-
-void caller_connection::free_unused_input()
-{
-    if (this->input.empty() && this->input.capacity() > max_empty_buffer)
-    {
-        std::string().swap(this->input);
-    }
-}
-
 void caller_connection::start_reading()
 {
     if (this->reading || this->ended || !this->may_read())
@@ -501,7 +177,7 @@
 
 bool caller_connection::may_read() const noexcept
 {
-    return this->exchange != nullptr || this->input.size() < max_read_ahead;
+    return this->exchange != nullptr || this->input.size() < this->max_read_ahead;
 }
 
 void caller_connection::receive(std::string_view bytes)
@@ -523,7 +199,7 @@
     }
     const caller_limits limits = this->handler->limits();
     if (this->input.size() >
-        std::max(max_read_ahead, limits.header_bytes) + limits.body_bytes)
+        std::max(this->max_read_ahead, limits.header_bytes) + limits.body_bytes)
     {
         this->handler->refused(status_bad_request, "sent too far ahead");
         this->break_off();
--- a/src/transport/caller_connection.hpp
+++ b/src/transport/caller_connection.hpp
@@ -158,6 +158,11 @@
   private:
     friend class caller_exchange;
 
+    /// Bytes that are read before they are parsed. While a request is answered, its
+    /// caller may send a whole other one, which counts as waiting for the caller from
+    /// here on.
+    static constexpr std::size_t max_read_ahead = 65'536;
+
     enum class read_outcome
     {
         complete,
