Count what the kernel keeps for callers

Callers saw: nothing yet; a machine with 48 MB of memory would end the process.

Cause: what the kernel keeps was limited for each connection, 64 KB each way, and counted nowhere, so it grew with the connections and not with the memory: of answers that aren't read, and of bodies that arrive while the process gets no processor time.

Change: one bound, as for the rest. The receive buffer is 4 KB, and 64 KB while a larger body is received; both count. Unread answers count by SIOCOUTQ, after each 4 KB, and are counted again before anything is released, since most are read in the meantime. A connection that is released with unread answers is reset. A caller that reads nothing is charged with what its server may send on.

Tried and reverted: a small buffer also towards servers. A closed connection counted its unread bytes until it was destroyed, so that all others were released, the store's too; found by the test.

--- a/include/agateseam/memory_budget.hpp
+++ b/include/agateseam/memory_budget.hpp
@@ -53,6 +53,11 @@
     /// shortage until `memory_budget::renew` is called for it.
     virtual void release(resource_shortage shortage) = 0;
 
+    /// \brief Calls `memory_budget::recount` if what it holds may have become less by
+    /// itself. Called before any holder is released for its memory, while the budget is
+    /// locked.
+    virtual void recount() {}
+
   protected:
     memory_holder() = default;
 
@@ -88,6 +93,10 @@
     /// The holder itself may be among these.
     void update(memory_holder& holder, const held_resources& held, time_point now);
 
+    /// \brief Sets what a holder still holds, for the same reason and since the same
+    /// time.
+    void recount(memory_holder& holder, std::size_t bytes);
+
     /// \brief Lets a holder be released again, which holds something new.
     void renew(memory_holder& holder);
 
@@ -103,6 +112,7 @@
     void add(const held_resources& held);
     void subtract(const held_resources& held);
     void enforce(time_point now);
+    void recount_all();
     void release_until(resource_shortage shortage, std::size_t target, time_point now);
     [[nodiscard]] std::vector<memory_holder*> candidates(resource_shortage shortage,
                                                          time_point now) const;
--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -84,6 +84,14 @@
     this->enforce(now);
 }
 
+void memory_budget::recount(memory_holder& holder, std::size_t bytes)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->held_bytes -= holder.counted.bytes;
+    holder.counted.bytes = bytes;
+    this->held_bytes += bytes;
+}
+
 void memory_budget::renew(memory_holder& holder)
 {
     const std::scoped_lock lock(this->mutex);
@@ -145,6 +153,10 @@
     }
     this->is_enforcing = true;
     if (this->held_bytes > this->byte_limit)
+    {
+        this->recount_all();
+    }
+    if (this->held_bytes > this->byte_limit)
     {
         this->release_until(resource_shortage::memory,
                             this->byte_limit - this->byte_limit / free_part_divisor, now);
@@ -156,6 +168,15 @@
     this->is_enforcing = false;
 }
 
+void memory_budget::recount_all()
+{
+    // A holder only updates itself, which changes neither the list nor its order.
+    for (memory_holder* const holder : this->holders)
+    {
+        holder->recount();
+    }
+}
+
 void memory_budget::release_until(resource_shortage shortage, std::size_t target,
                                   time_point now)
 {
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <agateseam/clock.hpp>
+#include <net/socket_buffers.hpp>
 
 namespace agateseam
 {
@@ -18,7 +19,7 @@
                                  std::size_t buffer_size)
     : budget(&shared_budget)
     , descriptor(socket)
-    , memory_bytes(connection_overhead + buffer_size)
+    , memory_bytes(connection_overhead + socket_overhead + buffer_size)
 {
     this->hold();
 }
@@ -31,12 +32,24 @@
 void http_connection::hold()
 {
     const time_point now = steady_clock_source{}.now();
-    this->budget->update(*this, {this->memory_bytes, hold_kind::awaits_peer, 1, now},
-                         now);
+    const std::size_t unsent = unsent_bytes(this->descriptor);
+    this->has_unsent_bytes = unsent > 0;
+    this->is_lent = false;
+    this->budget->update(
+        *this, {this->memory_bytes + unsent, hold_kind::awaits_peer, 1, now}, now);
+}
+
+void http_connection::recount()
+{
+    if (this->has_unsent_bytes && !this->is_lent)
+    {
+        this->budget->recount(*this, this->memory_bytes + unsent_bytes(this->descriptor));
+    }
 }
 
 void http_connection::lend()
 {
+    this->is_lent = true;
     const time_point now = steady_clock_source{}.now();
     this->budget->update(*this, {0, hold_kind::awaits_peer, 0, now}, now);
 }
@@ -48,6 +61,9 @@
 
 void http_connection::release(resource_shortage)
 {
+    // Otherwise the kernel would keep what the client hasn't read.
+    const linger reset{1, 0};
+    ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     this->shut_down();
     this->lend();
 }
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -1,6 +1,7 @@
 /// The state of one connection of the HTTP server.
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 
@@ -30,6 +31,7 @@
     void shut_down() const noexcept;
 
     void release(resource_shortage shortage) override;
+    void recount() override;
 
     bool awaits_head = true; ///< No request is open, or its head is incomplete.
     std::chrono::steady_clock::time_point head_deadline;
@@ -38,6 +40,9 @@
     memory_budget* budget;
     int descriptor;
     std::size_t memory_bytes;
+    std::atomic<bool> is_lent{false};
+    /// The last answer may not have been read.
+    std::atomic<bool> has_unsent_bytes{false};
 };
 
 } // namespace agateseam
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -294,6 +294,7 @@
             }
             const bool is_valid = parse_some(*this->parser, this->input, fault);
             this->free_unused_input();
+            this->adapt_receive_buffer();
             this->update_held_resources();
             if (this->is_refused() || this->ended)
             {
@@ -389,7 +390,10 @@
         sent += this->socket.write_some(rest, fault);
         if (fault == asio::error::would_block || fault == asio::error::try_again)
         {
-            this->set_unread_bytes(head.capacity() + body.capacity());
+            this->count_sent(sent);
+            // Meanwhile its server's answer isn't read either.
+            this->set_unread_bytes(head.capacity() + body.capacity() +
+                                   kernel_memory(receive_buffer::large));
             co_await this->wait_until_writable();
             this->set_unread_bytes(0);
         }
@@ -398,6 +402,7 @@
             this->handle_disconnect();
         }
     }
+    this->count_sent(size);
     co_return !this->ended;
 }
 
--- a/src/transport/caller_connection.hpp
+++ b/src/transport/caller_connection.hpp
@@ -10,6 +10,7 @@
 
 #include <agateseam/memory_budget.hpp>
 #include <agateseam/routing_table.hpp>
+#include <net/socket_buffers.hpp>
 #include <transport/endpoint.hpp>
 #include <transport/event_loop.hpp>
 #include <transport/message_parser.hpp>
@@ -185,6 +186,9 @@
     void receive(std::string_view bytes);
     void break_off();
     void release(resource_shortage shortage) override;
+    void recount() override;
+    void adapt_receive_buffer();
+    void count_sent(std::size_t bytes);
     void refuse_overloaded();
     void reset();
     void free_buffers();
@@ -211,6 +215,9 @@
     caller_exchange* exchange = nullptr;    ///< Of the request that is handled.
     std::size_t request_head_bytes = 0;     ///< Memory of that request's head.
     std::size_t unread_bytes = 0; ///< Memory of an answer that the caller doesn't read.
+    std::size_t sent_since_count = 0; ///< Bytes since `unsent` was set.
+    std::size_t unsent = 0;           ///< Bytes of answers that the kernel holds.
+    receive_buffer receive_size = receive_buffer::small;
     connection_phase phase = connection_phase::idle;
     time_point held_since{}; ///< Begin of the phase, or of what the caller doesn't read.
     wake_signal state_changed;  ///< Bytes were read, or the connection ended.
--- a/src/transport/caller_listener.cpp
+++ b/src/transport/caller_listener.cpp
@@ -34,7 +34,7 @@
     io_error fault;
     listener->acceptor.open(endpoint->protocol(), fault);
     listener->acceptor.set_option(asio::socket_base::reuse_address(true), fault);
-    limit_socket_buffers(listener->acceptor.native_handle());
+    limit_socket_buffers(listener->acceptor.native_handle(), receive_buffer::small);
     listener->acceptor.bind(*endpoint, fault);
     if (!fault)
     {
--- a/src/transport/caller_memory.cpp
+++ b/src/transport/caller_memory.cpp
@@ -1,6 +1,7 @@
 // What a caller's connection holds, and how it releases that.
 #include <transport/caller_connection.hpp>
 
+#include <algorithm>
 #include <cstdio>
 
 #include <pcg_random.hpp>
@@ -79,6 +80,14 @@
 std::size_t caller_connection::held_bytes() const
 {
     std::size_t bytes = connection_overhead + this->input.capacity() + this->unread_bytes;
+    if (this->socket.is_open())
+    {
+        bytes += socket_overhead + this->unsent;
+    }
+    if (this->socket.is_open() && this->receive_size == receive_buffer::large)
+    {
+        bytes += kernel_memory(receive_buffer::large);
+    }
     if (this->parser)
     {
         bytes += this->parser->memory_size();
@@ -129,12 +138,53 @@
     }
     else
     {
-        this->close();
+        // A connection that is closed in an orderly way keeps what its caller hasn't
+        // read.
+        this->unsent > 0 ? this->reset() : this->close();
     }
     this->free_buffers();
     this->update_held_resources();
 }
 
+void caller_connection::recount()
+{
+    if (this->unsent > 0)
+    {
+        this->unsent = unsent_bytes(this->socket.native_handle());
+        process_memory_budget().recount(*this, this->held_bytes());
+    }
+}
+
+/// Counts answers that were written and may not have been read.
+void caller_connection::count_sent(std::size_t bytes)
+{
+    this->sent_since_count += bytes;
+    if (this->sent_since_count > min_counted_unsent)
+    {
+        this->sent_since_count = 0;
+        this->unsent = unsent_bytes(this->socket.native_handle());
+        this->update_held_resources();
+    }
+}
+
+/// Lets more bytes arrive at once while the rest of a large body is received.
+void caller_connection::adapt_receive_buffer()
+{
+    const bool receives_body =
+        this->parser && this->parser->is_header_done() && !this->parser->is_done();
+    const receive_buffer size =
+        receives_body && std::max<std::uint64_t>(
+                             this->parser->content_length_remaining().value_or(0),
+                             this->parser->body.size()) > small_receive_bytes
+            ? receive_buffer::large
+            : receive_buffer::small;
+    if (this->receive_size != size)
+    {
+        this->receive_size = size;
+        set_receive_buffer(this->socket.native_handle(), size);
+    }
+}
+
 /// Ends a request whose caller is at fault, or for which there is no memory.
 void caller_connection::break_off()
 {
@@ -165,6 +215,7 @@
     // An assignment of an empty string would keep the memory.
     std::string().swap(this->input);
     this->parser.reset();
+    this->adapt_receive_buffer();
     this->unread_bytes = 0; // The write ends with the connection.
     if (this->exchange != nullptr)
     {
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t max_idle_buffer = 4 << 10;
 /// Memory of a connection without buffers.
 constexpr std::size_t connection_overhead = 2 << 10; // bytes
+/// The kernel may hold this much of a request that its server doesn't read.
+constexpr std::size_t max_unreceived_bytes = 64 << 10;
 /// Limit of a server's head beside the fields of the request that it echoes.
 constexpr std::uint32_t max_own_head_bytes = 8 << 10;
 /// The kernel closes a connection whose sent bytes stay unacknowledged for this long.
@@ -109,9 +111,12 @@
 void upstream_connection::update_held_resources()
 {
     held_resources resources;
-    resources.bytes = connection_overhead +
-                      (this->parser ? this->parser->memory_size() : 0) +
+    resources.bytes = connection_overhead + this->unreceived_bytes +
                       this->input.capacity() + this->kept_by_reader;
+    if (this->parser)
+    {
+        resources.bytes += this->parser->memory_size();
+    }
     resources.kind = this->is_idle ? hold_kind::awaits_peer : hold_kind::in_progress;
     resources.connections = this->socket.is_open() ? 1 : 0;
     resources.since = this->is_idle ? this->idle_since : this->request_sent_at;
@@ -140,6 +145,7 @@
         std::string().swap(this->parser->body);
     }
     this->kept_by_reader = 0;
+    this->unreceived_bytes = 0;
     this->update_held_resources();
 }
 
@@ -163,7 +169,7 @@
     this->socket.open(endpoint->protocol(), fault);
     if (!fault)
     {
-        limit_socket_buffers(this->socket.native_handle());
+        limit_socket_buffers(this->socket.native_handle(), receive_buffer::large);
     }
     this->set_in_use();
     if (!fault)
@@ -190,6 +196,9 @@
     this->writing = true;
     this->is_head_request = head.starts_with("HEAD ");
     this->sent_head_bytes = head.size();
+    this->unreceived_bytes =
+        std::min(head.size() + (body ? body->size() : 0), max_unreceived_bytes);
+    this->update_held_resources();
     const auto sent_head = std::make_shared<std::string>(std::move(head));
     const std::array<asio::const_buffer, 2> parts{
         asio::buffer(*sent_head), body ? asio::buffer(*body) : asio::const_buffer{}};
@@ -322,6 +331,7 @@
             continue;
         }
         ++this->responses_read;
+        this->unreceived_bytes = 0;
         switch (match(this->parser->head))
         {
         case response_match::current:
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -166,6 +166,7 @@
     std::uint64_t responses_read = 0; ///< Without interim ones.
     bool is_head_request = false;     ///< Method HEAD: the response has no body.
     std::size_t sent_head_bytes = 0;
+    std::size_t unreceived_bytes = 0; ///< Of the request, which the kernel may hold.
     time_point request_sent_at{};
     std::size_t bytes_received = 0; ///< Since `request_sent_at`.
     bool writing = false;
--- a/tests/process/misbehaving_callers_test.py
+++ b/tests/process/misbehaving_callers_test.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import signal
 import sys
 import traceback
 
@@ -15,9 +16,9 @@
 from fleet import Fleet, call_http  # noqa: E402
 
 MEMORY_MB = 64
-DESCRIPTORS = 256
-MAX_DESCRIPTORS = 192  # The rest is for the entry's own connections.
-CALLERS = 120
+DESCRIPTORS, MANY_DESCRIPTORS = 256, 2048
+MAX_DESCRIPTOR_PART = 3 / 4  # The rest is for the entry's own connections.
+CALLERS, MANY_CALLERS = 120, 1100
 IDLE_CALLERS = 400
 BODY_BYTES = 1 << 20
 HEADER_BYTES = 32 << 10
@@ -36,10 +37,10 @@
 class CrowdedFleet(Fleet):
     """A fleet with one entry whose memory and descriptors are limited."""
 
-    def __init__(self, build, directory, **options):
+    def __init__(self, build, directory, descriptors=DESCRIPTORS, **options):
         super().__init__(build, directory, entries=1, prefill=1, decode=2, services=1,
                          listen=LISTEN, **options)
-        self.descriptor_limit = DESCRIPTORS
+        self.descriptor_limit = descriptors
 
     def start(self):
         super().start()
@@ -60,7 +61,16 @@
         print(f"  {step}: peak of {peak:.0f} MB, {unread:.0f} MB in the kernel,",
               f"{descriptors} descriptors", flush=True)
         check(peak + unread <= MEMORY_MB, step, "MB", peak, unread)
-        check(descriptors <= MAX_DESCRIPTORS, step, "descriptors", descriptors)
+        check(descriptors <= self.descriptor_limit * MAX_DESCRIPTOR_PART, step, "descriptors",
+              descriptors)
+
+    def check_agents(self, step):
+        for name, _, _ in self.agents:
+            process = self.processes[name].child
+            check(process.poll() is None, step, name, "has ended", process.poll())
+            peak = peak_memory_mb(process.pid)
+            print(f"  {step}: {name} peak of {peak:.0f} MB", flush=True)
+            check(peak <= MEMORY_MB, step, name, "MB", peak)
 
     def check_served(self, path="/v1/completions", body=ORDINARY):
         headers = {"Authorization": "Bearer " + self.keys["oshana"],
@@ -75,11 +85,17 @@
         is there isn't given up for a new request that is as large.
         """
         with Crowd(self.processes["entry-1"].port, callers, **options):
-            self.check_entry("beside the crowd")
-            self.check_served("/orders/ordinary")
-            if not at_engines:
-                self.check_served()
-                self.check_served("/orders/largest", BODY)
+            self.check_beside(at_engines)
+        self.check_after(at_engines)
+
+    def check_beside(self, at_engines=False):
+        self.check_entry("beside the crowd")
+        self.check_served("/orders/ordinary")
+        if not at_engines:
+            self.check_served()
+            self.check_served("/orders/largest", BODY)
+
+    def check_after(self, at_engines=False):
         self.check_served("/orders/largest", BODY)
         if not at_engines:
             self.check_served()
@@ -102,6 +118,34 @@
         fleet.check_crowd([[length_head(fleet, len(body)), body]] * CALLERS, at_engines=True)
 
 
+class LargeEntryFleet(CrowdedFleet):
+    """A fleet whose entry may hold the whole crowd, but not its agents."""
+
+    def daemon_settings(self, name, domain, role, port=0):
+        content = super().daemon_settings(name, domain, role, port)
+        if role == "entry":
+            content["listen"] = {**content["listen"], "memory_mb": 16 * MEMORY_MB}
+        return content
+
+
+def test_bodies_that_arrive_while_the_entry_does_not_run(build, directory):
+    """Guards against bytes that only the kernel holds, as when an entry's processor is busy."""
+    with CrowdedFleet(build, directory, MANY_DESCRIPTORS) as fleet:
+        entry = fleet.processes["entry-1"]
+        with Crowd(entry.port, [[length_head(fleet), BODY[:1]]] * MANY_CALLERS) as crowd:
+            entry.child.send_signal(signal.SIGSTOP)
+            try:
+                for caller in crowd.callers:
+                    caller.blocks = [memoryview(BODY[2:])]
+                crowd.send_all()
+                fleet.check_entry("while it doesn't run")
+            finally:
+                entry.child.send_signal(signal.SIGCONT)
+            crowd.send_all()
+            fleet.check_beside()
+        fleet.check_after()
+
+
 def test_bodies_that_stop_before_their_end(build, directory):
     with CrowdedFleet(build, directory) as fleet:
         fleet.check_crowd([[length_head(fleet), BODY[:-1]]] * CALLERS)
--- a/tests/site/misbehaving_callers_test.py
+++ b/tests/site/misbehaving_callers_test.py
@@ -208,6 +208,35 @@
                          receive_buffer=4096, reads_begin=True)
 
 
+def test_small_answers_to_many_callers_that_are_not_read(build, directory):
+    """Guards against answers that only the kernel holds."""
+    with CrowdedSite(build, directory, MANY_DESCRIPTORS) as site:
+        for replica in site.replicas_of("plain"):
+            replica.handler = answer_with(SMALL_ANSWER_BYTES)
+        heads = site.heads("GET", "/once/crowd", callers=MANY_CALLERS)
+        site.check_crowd([[head + b"\r\n"] for head in heads], receive_buffer=4096,
+                         reads_begin=True)
+
+
+def test_bodies_that_arrive_while_the_entry_does_not_run(build, directory):
+    """Guards against bytes that only the kernel holds, as when an entry's processor is busy."""
+    with CrowdedSite(build, directory, MANY_DESCRIPTORS) as site:
+        heads = length_heads(site, callers=MANY_CALLERS)
+        with Crowd(site.entries[0].callers, [[head, BODY[:1]] for head in heads]) as crowd:
+            process = site.entries[0].process
+            process.send_signal(signal.SIGSTOP)
+            try:
+                for caller in crowd.callers:
+                    caller.blocks = [memoryview(BODY[2:])]
+                crowd.send_all()
+                site.check_entry("while it doesn't run")
+            finally:
+                process.send_signal(signal.SIGCONT)
+            crowd.send_all()
+            site.check_beside()
+        site.check_after()
+
+
 def test_whole_requests_with_many_prompt_parts(build, directory):
     """Guards against what is kept of a head beside its text."""
     with CrowdedSite(build, directory) as site:
--- a/tests/unit/memory_budget_test.cpp
+++ b/tests/unit/memory_budget_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,7 +54,16 @@
         }
     }
 
+    void recount() override
+    {
+        if (this->bytes_left)
+        {
+            this->budget->recount(*this, *this->bytes_left);
+        }
+    }
+
     held_resources resources;
+    std::optional<std::size_t> bytes_left; ///< If it has become less by itself.
     bool releases_at_once = true;
     std::unique_ptr<fake_holder> other; ///< Destroyed by a release.
 
@@ -107,6 +117,21 @@
     CHECK(callers.budget.bytes() <= byte_limit);
 }
 
+TEST_CASE("what has been read meanwhile is counted again before anything is released")
+{
+    crowd callers;
+    fake_holder& read = callers.add("read");
+    read.hold(600'000, hold_kind::awaits_peer, start, start);
+    read.bytes_left = 1'000;
+    callers.add("new").hold(600'000, hold_kind::awaits_peer, start + 1s, start + 1s);
+    CHECK(callers.released.empty());
+    CHECK(callers.budget.bytes() == 601'000);
+    fake_holder& unread = callers.add("unread");
+    unread.hold(500'000, hold_kind::awaits_peer, start, start + 2s);
+    CHECK(callers.was_released("unread"));
+    CHECK(!callers.was_released("read"));
+}
+
 TEST_CASE("small requests that are stalled for long are released before larger new ones")
 {
     crowd callers;
