Change members of a body in its text

Callers saw: nothing yet; an agent's process would end.

Cause: agents parsed each body into values and kept these until the engine was called. A body of "[],[]," takes 16 times its text as values, which no bound counted.

Change: an agent only checks that the body is a JSON object, and replaces members of it in the text. All spellings and repetitions of a name are replaced.

--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -1,9 +1,13 @@
 #include <daemon/agent_context.hpp>
 
+#include <array>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 #include <daemon/api_error.hpp>
 #include <daemon/attempt_meter.hpp>
+#include <daemon/json_members.hpp>
 #include <daemon/server_sent_events.hpp>
 
 namespace agateseam
@@ -63,8 +67,8 @@
     {
         const std::scoped_lock begin(this->start_mutex);
         this->deadline = this->context->time.now() + this->order.deadline;
-        this->body = json::parse(this->exchange->take_body(), nullptr, false);
-        if (!this->body.is_object())
+        this->body = this->exchange->take_body();
+        if (!is_json_object(this->body))
         {
             this->refuse(
                 {error_code::invalid, "decode", "", "the body is not a JSON object"});
@@ -254,7 +258,7 @@
             {std::string(headers::fleet), this->context->settings.fleet_secret},
             {std::string(headers::attempt), to_text(this->order)},
             this->context->telemetry->stamp_header()};
-        prefill.body = this->body.dump();
+        prefill.body = this->body;
         this->start_call_unless_cancelled(
             [&]
             {
@@ -289,7 +293,7 @@
         this->prefill_usage = answer.value("usage", json::object());
         this->context->telemetry->merge_stamp(reply->headers);
         this->meter.record_prefill(*reply, this->prefill_usage);
-        this->body["kv_transfer_params"] = answer["kv_transfer_params"];
+        this->transfer_parameters = std::move(answer["kv_transfer_params"]);
         if (!this->context->slots->start(this->order.id, this->shared_from_this()))
         {
             this->end(run_state::not_run,
@@ -300,13 +304,16 @@
 
     void start_decode()
     {
-        this->body["stream"] = true;
-        this->body.erase("max_completion_tokens");
-        this->body["max_tokens"] = this->order.output_tokens;
-        this->body["stream_options"] = {{"include_usage", true}};
+        json members{{"stream", true},
+                     {"max_tokens", this->order.output_tokens},
+                     {"stream_options", {{"include_usage", true}}}};
+        if (!this->transfer_parameters.is_null())
+        {
+            members["kv_transfer_params"] = std::move(this->transfer_parameters);
+        }
         if (this->order.resume_from > 0)
         {
-            this->body["resume_from"] = this->order.resume_from;
+            members["resume_from"] = this->order.resume_from;
         }
         this->meter.start_engine_timer();
         http_call decode;
@@ -316,8 +323,10 @@
         decode.idle_timeout = this->context->settings.limits.silence_timeout;
         decode.headers = {{"Content-Type", "application/json"},
                           {"x-request-id", this->engine_id()}};
-        decode.body = this->body.dump();
-        this->body = nullptr;
+        static constexpr std::array<std::string_view, 1> other_limits{
+            "max_completion_tokens"};
+        decode.body = replace_members(this->body, other_limits, members);
+        std::string().swap(this->body);
         this->start_call_unless_cancelled(
             [&] {
                 return this->context->client->start(std::move(decode),
@@ -481,7 +490,8 @@
     agent_context* context;
     std::shared_ptr<http_exchange> exchange;
     attempt_order order;
-    json body;
+    std::string body; ///< Of the request, until the engine is called.
+    json transfer_parameters;
     json prefill_usage;
     event_splitter events;
     attempt_meter meter;
--- a/src/daemon/prefill_attempt.cpp
+++ b/src/daemon/prefill_attempt.cpp
@@ -4,6 +4,7 @@
 
 #include <daemon/api_error.hpp>
 #include <daemon/attempt_meter.hpp>
+#include <daemon/json_members.hpp>
 
 namespace agateseam
 {
@@ -11,8 +12,6 @@
 namespace
 {
 
-using json = nlohmann::json;
-
 constexpr int status_ok = 200;
 
 duration processing_time(double tokens, double tokens_per_second)
@@ -48,8 +47,8 @@
 
     void start()
     {
-        this->body = json::parse(this->exchange->take_body(), nullptr, false);
-        if (!this->body.is_object())
+        this->body = this->exchange->take_body();
+        if (!is_json_object(this->body))
         {
             this->refuse(
                 {error_code::invalid, "prefill", "", "the body is not a JSON object"});
@@ -124,8 +123,6 @@
     void call_engine()
     {
         this->tokens_used = this->order.prompt_tokens;
-        this->body["kv_transfer_params"] = {{"do_remote_decode", true}};
-        this->body["stream"] = false;
         http_call call;
         call.method = "POST";
         call.url = this->context->settings.backend.url + this->order.path;
@@ -133,8 +130,10 @@
         call.total_timeout = this->order.deadline;
         call.headers = {{"Content-Type", "application/json"},
                         {"x-request-id", to_text(this->order.id)}};
-        call.body = this->body.dump();
-        this->body = nullptr;
+        call.body = replace_members(
+            this->body, {},
+            {{"kv_transfer_params", {{"do_remote_decode", true}}}, {"stream", false}});
+        std::string().swap(this->body);
         this->meter.record_event(event_kind::prefill_begun, {},
                                  this->order.prompt_tokens);
         this->meter.start_engine_timer();
@@ -210,7 +209,7 @@
     std::shared_ptr<http_exchange> exchange;
     attempt_order order;
     attempt_meter meter;
-    json body;
+    std::string body;       ///< Of the request, until the engine is called.
     double tokens_used = 0; ///< Prompt tokens that were sent to the engine.
     std::mutex mutex;
     bool cancelled = false;
--- a/tests/process/misbehaving_callers_test.py
+++ b/tests/process/misbehaving_callers_test.py
@@ -128,6 +128,18 @@
         return content
 
 
+def test_bodies_of_many_small_values_at_agents(build, directory):
+    """Guards against what a parsed body takes beside its text."""
+    with LargeEntryFleet(build, directory) as fleet:
+        begin = b'{"model":"drafter","prompt":"b","max_tokens":4000,"stream":true,"other":['
+        body = begin + b"[]," * ((BODY_BYTES - len(begin) - 8) // 3) + b"[]]}"
+        heads = [length_head(fleet, len(body))] * CALLERS
+        with Crowd(fleet.processes["entry-1"].port, [[head, body] for head in heads]):
+            fleet.check_agents("beside the crowd")
+            fleet.check_served("/orders/ordinary")
+        fleet.check_served("/orders/ordinary")
+
+
 def test_bodies_that_arrive_while_the_entry_does_not_run(build, directory):
     """Guards against bytes that only the kernel holds, as when an entry's processor is busy."""
     with CrowdedFleet(build, directory, MANY_DESCRIPTORS) as fleet:
