Press entries with crowds in the soak

300 callers at a time hold unfinished bodies, chunks, heads or connections at an entry, up to four times what it may hold, beside all unplanned troubles.

--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -24,6 +24,7 @@
 from site_callers import Callers  # noqa: E402
 from crash_test import CRASHES_BEFORE_BLOCK, MAX_ARRIVALS, prompt_of  # noqa: E402
 import repeat_test  # noqa: E402
+from caller_crowd import Crowd, chunks  # noqa: E402
 from endless_test import KINDS as ENDLESS_KINDS, endless, peak_memory_mb  # noqa: E402
 from limit_test import WINDOW_S, allowed  # noqa: E402
 
@@ -38,6 +39,7 @@
 CALLER_DEADLINE_S = 14
 STREAM_EVENTS = 8
 MEMORY_MB = 88
+CROWD, CROWD_BODY = 300, b"b" * 99_000  # More than an entry may hold.
 EVACUATED_S = 5  # after which nothing reaches an evacuated domain
 UNSTABLE_STORE_S = 6  # longer when the store was unstable
 COLD_S = 2.5
@@ -47,12 +49,18 @@
 KINDS = [("/safe/a", None), ("/once/a", None), ("/draft/a", "500,40"), ("/resume/a", "500,40")]
 
 
+def press(entry, blocks, duration_s):
+    with Crowd(entry.callers, [blocks] * CROWD):
+        time.sleep(duration_s)
+
+
 class Soak:
     """One run: a site, its callers and its troubles."""
 
     def __init__(self, build, directory, seed, seconds=20, entries=3, callers=16, planned=False,
                  domains=False):
         self.random = random.Random(seed)
+        self.crowd_random = random.Random(seed)  # Other troubles don't depend on crowds.
         self.seconds, self.planned, self.domains = seconds, planned, domains
         settings = {"memory_mb": MEMORY_MB}
         if domains:
@@ -371,6 +379,28 @@
                            lambda: setattr(replica, "handler", endless(kind)),
                            lambda: setattr(replica, "handler", None))
 
+    async def press_entries(self):
+        """Crowds hold unfinished bodies at entries, more than these may hold."""
+        end = time.monotonic() + self.seconds
+        head = b"POST /safe/crowd HTTP/1.1\r\nHost: x\r\n"
+        requests = [
+            ("bodies", [head + b"Content-Length: %d\r\n\r\n" % len(CROWD_BODY),
+                        CROWD_BODY[1:]]),
+            ("chunks", [head + b"Transfer-Encoding: chunked\r\n\r\n",
+                        chunks(CROWD_BODY, self.crowd_random.choice([8, 4096]))]),
+            ("heads", [head]), ("connections", [])]
+        while time.monotonic() < end:
+            await asyncio.sleep(self.crowd_random.uniform(1, 6))
+            entry = self.crowd_random.choice(self.site.entries)
+            kind, blocks = self.crowd_random.choice(requests)
+            if entry.process.poll() is not None:
+                continue
+            self.note(f"crowd at {entry.name}: {kind}")
+            span = [time.monotonic(), float("inf")]
+            self.unplanned.append(span)
+            await asyncio.to_thread(press, entry, blocks, self.crowd_random.uniform(0, 2))
+            span[1] = time.monotonic()
+
     async def evacuation(self, cold_s=0):
         """Operators evacuate a domain, one at a time, and take it back into service."""
         if self.evacuations and self.evacuations[-1][2] > time.monotonic():
@@ -415,7 +445,7 @@
         kinds = planned if self.planned else planned + unplanned
         if self.domains:
             kinds = kinds + [self.evacuation, self.cold_return, self.cold_return]
-        running = []
+        running = [] if self.planned else [asyncio.ensure_future(self.press_entries())]
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
             running.append(asyncio.ensure_future(self.random.choice(kinds)()))
