Wait until the former name of a server is in use

Cause: the test, not the program. An entry publishes a new server 10 ms after it has logged it, and 20 requests took less than that (all went to the other name).

Change: the test sends requests until one was refused by the former name, and 20 more. All are checked as before, at least as many as before.

--- a/tests/site/promise_test.py
+++ b/tests/site/promise_test.py
@@ -207,9 +207,17 @@
         present.handler = repeat_refusal(sent_before)
         wait_for(lambda: site.entries[0].log_lines("backend server changed")
                  and site.entries[0].log_lines("backend server gone"), "the former name")
-        answered = {f"once-{number}": site.post("/once/a", Agateseam_Request_Id=f"once-{number}")
-                    for number in range(20)}
-        check(sent_before)
+        answered = {}
+
+        def send_request():
+            request_id = f"once-{len(answered)}"
+            answered[request_id] = site.post("/once/a", Agateseam_Request_Id=request_id)
+            return sent_before
+
+        # A new server is published some time after it was logged.
+        wait_for(send_request, "a request that is sent to the former name")
+        for _ in range(20):
+            send_request()
         check_promises(site, answered)
         check("repeated" not in sent_before)
 
