Read the stated length of a body without an optional

The build with the address sanitizer failed: g++ 12 takes the empty optional that the parser returns there for uninitialized (-Werror=maybe-uninitialized). The length comes from the head's field now. A body counts as large until it is complete; before, until less than a small buffer was left of it.

--- a/src/transport/caller_memory.cpp
+++ b/src/transport/caller_memory.cpp
@@ -2,6 +2,7 @@
 #include <transport/caller_connection.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
 
 #include <pcg_random.hpp>
@@ -25,6 +26,15 @@
 
 constexpr int status_overloaded = 503;
 
+/// Returns the length of the body, or 0 for one in chunks.
+std::uint64_t stated_length(const message_head& head)
+{
+    const std::string_view text = head.field("Content-Length");
+    std::uint64_t length = 0;
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
+
 /// Refused callers come back within this time, at random, so that not all of them do at
 /// once.
 constexpr auto min_overload_retry_after = 500ms;
@@ -170,14 +180,13 @@
 /// Lets more bytes arrive at once while the rest of a large body is received.
 void caller_connection::adapt_receive_buffer()
 {
-    const bool receives_body =
-        this->parser && this->parser->is_header_done() && !this->parser->is_done();
-    const receive_buffer size =
-        receives_body && std::max<std::uint64_t>(
-                             this->parser->content_length_remaining().value_or(0),
-                             this->parser->body.size()) > small_receive_bytes
-            ? receive_buffer::large
-            : receive_buffer::small;
+    receive_buffer size = receive_buffer::small;
+    if (this->parser && this->parser->is_header_done() && !this->parser->is_done() &&
+        std::max<std::uint64_t>(stated_length(this->parser->head),
+                                this->parser->body.size()) > small_receive_bytes)
+    {
+        size = receive_buffer::large;
+    }
     if (this->receive_size != size)
     {
         this->receive_size = size;
