Read on at full speed behind a request that the daemon refuses

Cause: a released request got a small receive buffer back, and its rest was discarded 4 KB at a time. On a connection with large segments each of these waits for the sender's timer.

Change: the buffer stays large until the request ends. It is nearly empty, since what arrives is discarded at once.

--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -162,7 +162,8 @@
         this->is_given_up = true;
         if (!this->body_complete)
         {
-            this->set_receive_size_locked(receive_buffer::small);
+            // The receive buffer stays large: the rest of the body is read and discarded,
+            // and the sooner that is done the sooner the caller reads its refusal.
             std::string().swap(this->parsed.body);
         }
         else if (this->queued && this->phase == answer_phase::complete)
