--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,10 +1,11 @@
 """Shows that fronts believe no removal after the entries that they follow lost power.
 
-Twelve entries; four of them watch the store for the others. These four lose power:
-their processes stop, their connections fall silent, and new ones to them hang. Just then the
-entry of a plain replica is removed from the store without `draining`; the replica goes on
-serving. Each of the other entries gets requests all the while. Exits with 1 if such a request
-reaches the replica later than `drain_ms` (3,000) after the store's removal.
+Twelve entries; four of them watch the store for the others. These four lose power for 2 s:
+their processes stop, their connections fall silent, and new ones to them hang; then they start
+again. As they lose power the entry of a plain replica is removed from the store without
+`draining`; the replica goes on serving. 0.9 s earlier another replica was added, which is when
+the entries last heard of a change. Each of the other entries gets requests all the while. Exits
+with 1 if such a request reaches the replica later than `drain_ms` (3,000) after the removal.
 
 With TROUBLE=0 nothing loses power.
 """
@@ -27,8 +28,10 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FRONTS, WATCHERS, DRAIN_S, PLAY_S = 12, 4, 3.0, 6.0
+DARK_S, CHANGE_BEFORE_S = 2.0, 0.9
 LINK_BYTES_PER_S = 25_000_000  # 200 Mbit/s
 record = []
+started = []  # All processes.
 
 
 def note(text):
@@ -64,6 +67,13 @@
             filler.connect_ex(("127.0.0.1", port))
             self.dark.append(filler)
 
+    async def regain_power(self):
+        for each in self.dark:
+            each.close()
+        self.is_cut = False
+        self.listener = await asyncio.start_server(
+            self.serve, "127.0.0.1", int(self.address.rsplit(":", 1)[1]))
+
 
 def start_as_deployed(entry):
     """Starts an entry as the deploy file says: without arguments, the settings by variable."""
@@ -71,6 +81,7 @@
         entry.process = subprocess.Popen(
             [entry.site.program], cwd=ROOT, stdout=log, stderr=log,
             env={**os.environ, "AGATESEAM_SETTINGS": entry.settings_path})
+    started.append(entry.process)
 
 
 def sources(site):
@@ -116,6 +127,8 @@
     for caller in callers:
         caller.start()
     time.sleep(1)
+    site.add_replica("plain")
+    time.sleep(CHANGE_BEFORE_S)
     for number in lost:
         entry = site.entries[number]
         entry.process.send_signal(signal.SIGSTOP)
@@ -125,6 +138,15 @@
     site.run_on_loop(site.store.remove, "servers", removed.id)
     removed_at = time.monotonic()
     note(f"the store has removed {removed.id}")
+    time.sleep(DARK_S - 0.05)
+    for number in lost:
+        entry = site.entries[number]
+        entry.process.kill()
+        entry.process.wait()
+        site.run_coroutine(entry.peer_link.regain_power())
+        site.run_coroutine(entry.store_link.regain_power())
+        entry.start()
+    note(f"power is back after {DARK_S} s: {lost}")
     for caller in callers:
         caller.join()
     late = [request for request in removed.requests
@@ -159,9 +181,9 @@
         except Exception as fault:  # pylint: disable=broad-except
             note(f"could not run: {fault!r}")
         finally:
-            for entry in site.entries:
-                entry.process.kill()
-                entry.process.wait()
+            for process in started:
+                process.kill()
+                process.wait()
             site.close()
     note(f"exit {code}")
     with open(os.path.join(FOLDER, "record.txt"), "w", encoding="utf-8") as file:
