Encode keys in the daemon's calls to the store

Callers saw: nothing yet. The daemon's keys are made of fixed words, numbers and hashes, but the keys of the configuration's parts are read from an object in the store, so a key there with "?", "#" or a blank would name another object or make the call invalid.

Change: each segment of a key is percent-encoded by the same function; the slashes between them stay, so that present keys look the same on the wire.

--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -1,9 +1,12 @@
 #include <platform/http_object_store.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 #include <nlohmann/json.hpp>
 
+#include <net/uri_component.hpp>
+
 namespace agateseam
 {
 
@@ -30,6 +33,21 @@
     return version;
 }
 
+/// Encodes each segment of a key, which may name what another writer stored. The slashes
+/// between them stay.
+std::string encode_key(std::string_view key)
+{
+    std::string encoded;
+    for (std::size_t begin = 0; begin <= key.size();)
+    {
+        const std::size_t end = std::min(key.find('/', begin), key.size());
+        encoded += begin == 0 ? "" : "/";
+        encoded += encode_uri_component(key.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return encoded;
+}
+
 class http_object_store final : public object_store
 {
   public:
@@ -54,7 +72,7 @@
     list(std::string_view prefix) override
     {
         const std::string url =
-            this->options.url + "/objects?prefix=" + std::string(prefix);
+            this->options.url + "/objects?prefix=" + encode_uri_component(prefix);
         const auto reply = this->call("GET", url, "store list", {}, "");
         if (!reply)
         {
@@ -168,7 +186,7 @@
 
     [[nodiscard]] std::string object_url(std::string_view key) const
     {
-        return this->options.url + "/objects/" + std::string(key);
+        return this->options.url + "/objects/" + encode_key(key);
     }
 
     [[nodiscard]] result<http_reply> call(std::string method, std::string url,
