--- a/tests/site/odd_name_test.py
+++ b/tests/site/odd_name_test.py
@@ -18,6 +18,7 @@
              "a\"b\\c", "a\nb", "a\r\nX-Odd: 1", "a\x00b", "a\x7fb", "\u00e9\u4e2d\U0001f600", ".",
              "..", "~", "a&wait_ms=1&watch=1", "z&z", "z z", "z+z", "z#z", "z%z", "i-0000&",
              "z" * 2_000]
+LONG_BEGINS = ["a", "h", "i-0003", "i-0004", "z"]
 KINDS = ["servers", "agateseam-entries", "agateseam-part-blocks", "evacuations", "config",
          "agateseam-usage"]
 ODD_VM = "front 1 &+#%/?=\u00e9"
@@ -197,5 +198,59 @@
         check(ODD_VM not in registered, list(registered))
 
 
+def test_a_list_that_repeats_its_pages_ends(build, directory):
+    """Guards against a list that is asked for without end, or kept without bound."""
+    with make_site(build, directory, entries=1) as site:
+        site.store.repeats_pages = True
+        entry = Entry(site, 0)
+        site.entries.append(entry)
+        time.sleep(3)
+        check_memory(site)
+        calls = sum(site.store.list_calls.values())
+        # Four kinds are listed, with at least 30 ms after each failure, and soon much more.
+        check(calls <= 200, site.store.list_calls)
+        check(not entry.is_ready())
+        site.run_on_loop(site.store.put, "agateseam-usage", "a", {"hour": 1, "rows": []})
+        output = run_cli(build, site, "usage", exit_code=1)[1]
+        check("does not advance" in output, output)
+        site.store.repeats_pages = False
+        wait_for(entry.is_ready, "the entry to be ready", 5)
+        check_serves(site)
+
+
+def test_a_list_of_large_odd_objects_fits_into_memory(build, directory):
+    """Guards against what unusable objects take: each is close to the store's limit of a value."""
+    with make_site(build, directory, entries=1) as site:
+        site.store.page_items = 500
+        small = [{} for _ in range(230_000)]
+        for number in range(24):
+            put_odd_names(site, "servers", [f"a{number}"], {"note": small})
+        site.start()
+        check_serves(site)
+
+
+def test_long_names_do_not_end_a_list(build, directory):
+    """Guards against a call that is too long for the store, which names where a page ended."""
+    with make_site(build, directory) as site:
+        site.store.page_items = 6
+        for kind in KINDS:
+            put_odd_names(site, kind, [begin + "\u00e9" * 4_000 for begin in LONG_BEGINS])
+        site.start()
+        check_serves(site)
+
+
+def test_a_list_whose_pages_never_end_is_given_up(build, directory):
+    with make_site(build, directory, entries=1) as site:
+        site.store.has_endless_names = True
+        entry = Entry(site, 0)
+        site.entries.append(entry)
+        time.sleep(6)
+        check_memory(site)
+        check(not entry.is_ready())
+        site.store.has_endless_names = False
+        wait_for(entry.is_ready, "the entry to be ready", 10)
+        check_serves(site)
+
+
 if __name__ == "__main__":
     sys.exit(run.main(dict(globals())))
