--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -58,6 +58,20 @@
     }
 }
 
+TEST_CASE("an object keeps its name when other members of its metadata are unreadable")
+{
+    constexpr std::size_t depth = 1'000;
+    for (const std::string& odd : {repeat("[", depth) + repeat("]", depth),
+                                   std::string("1e999"), std::string("\"\\ud800\"")})
+    {
+        const json list = parse_store_document(
+            R"({"items":[{"metadata":{"finalizers":)" + odd +
+            R"(,"name":"a","revision":3,"labels":)" + odd + R"(},"spec":{}}]})");
+        REQUIRE(list["items"].size() == 1);
+        CHECK(list["items"][0]["metadata"] == json{{"name", "a"}, {"revision", 3}});
+    }
+}
+
 TEST_CASE("text that is no document is discarded")
 {
     for (const std::string text :
