Keep the command line's output readable beside odd objects

Cause: the command line never set up its log, which went to standard output.

Change: the command line logs warnings and errors as JSON lines to standard error.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -6,6 +6,7 @@
 #include <easylogging++.h>
 
 #include <agateseam/version.hpp>
+#include <net/log.hpp>
 
 #include "command.hpp"
 
@@ -145,6 +146,8 @@
 int run(int argc, char** argv)
 {
     const auto arguments = make_options().parse(argc, argv);
+    // Standard output is for what a command prints, which programs may read.
+    start_log("agateseam", log_level::warning, STDERR_FILENO);
     if (arguments.count("help") > 0)
     {
         print_help(std::cout);
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -107,8 +107,10 @@
 /// A longer text is cut. Some come from callers, such as a request's id.
 constexpr std::size_t max_text_bytes = 1'024;
 
-/// Writes to standard output unless that would block, because a stuck reader must not
-/// delay requests.
+/// Where lines are written to.
+std::atomic<int> log_descriptor{STDOUT_FILENO};
+
+/// Writes a line unless that would block, because a stuck reader must not delay requests.
 class non_blocking_output final : public el::LogDispatchCallback
 {
   protected:
@@ -116,12 +118,13 @@
     {
         const el::LogMessage* message = data->logMessage();
         const std::string line = message->logger()->logBuilder()->build(message, true);
-        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const int descriptor = log_descriptor;
+        pollfd output{descriptor, POLLOUT, 0};
         // A pipe that poll reports as ready accepts a complete line of up to PIPE_BUF
         // bytes. The write of a longer one could block.
         const bool ready = line.size() <= PIPE_BUF && ::poll(&output, 1, 0) == 1 &&
                            (output.revents & POLLOUT) != 0;
-        if (!ready || ::write(STDOUT_FILENO, line.data(), line.size()) < 0)
+        if (!ready || ::write(descriptor, line.data(), line.size()) < 0)
         {
             unread_lines.fetch_add(1, std::memory_order_relaxed);
         }
@@ -144,7 +147,7 @@
 }
 
 /// Adds the numbers of lines that were dropped: over the rate limit of the event, or not
-/// read from standard output.
+/// read where they are written to.
 void add_dropped_counts(nlohmann::ordered_json& line, std::uint64_t left_out)
 {
     if (left_out > 0)
@@ -178,9 +181,10 @@
 
 } // namespace
 
-void start_log(std::string_view process, log_level minimum_level)
+void start_log(std::string_view process, log_level minimum_level, int descriptor)
 {
     process_name = process;
+    log_descriptor = descriptor;
     minimum_log_level = minimum_level;
     el::Configurations settings;
     settings.setToDefault();
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -12,6 +12,8 @@
 #include <string_view>
 #include <variant>
 
+#include <unistd.h>
+
 #include <agateseam/error.hpp>
 
 namespace agateseam
@@ -37,7 +39,9 @@
 /// \brief Sets up the logger once per process.
 /// \param process the process name in each line.
 /// \param minimum_level lines below this level are not written.
-void start_log(std::string_view process, log_level minimum_level);
+/// \param descriptor that lines are written to.
+void start_log(std::string_view process, log_level minimum_level,
+               int descriptor = STDOUT_FILENO);
 
 /// \brief Writes one line with the time, the level, the process, the event and the given
 /// fields.
--- a/tests/site/odd_name_test.py
+++ b/tests/site/odd_name_test.py
@@ -198,6 +198,23 @@
         check(ODD_VM not in registered, list(registered))
 
 
+def test_the_command_line_reads_past_odd_objects(build, directory):
+    with make_site(build, directory, entries=1) as site:
+        site.store.page_items = 6  # A page of objects without names can't be continued.
+        for kind in ("agateseam-usage", "evacuations"):
+            put_odd_names(site, kind)
+            for number, metadata in enumerate((None, {}, [1], {"name": 5}, {"name": None})):
+                site.run_on_loop(site.store.put, kind, f"{3 * number}", {"note": 1})
+                site.store.objects_by_kind[kind][f"{3 * number}"]["metadata"] = metadata
+        site.evacuate("zone-z")
+        site.start()
+        check_serves(site)
+        wait_for(lambda: usage_rows(build, site).get(("oshana", "plain"), {}).get("requests") == 2,
+                 "the usage record")
+        listed = run_cli(build, site, "evacuations", "--json")[0]
+        check('"zone-z"' in listed, listed)
+
+
 def test_a_list_that_repeats_its_pages_ends(build, directory):
     """Guards against a list that is asked for without end, or kept without bound."""
     with make_site(build, directory, entries=1) as site:
