Keep control characters of others' text out of requests

Callers saw: nothing yet. A server's name, or a handle in its answer, could add fields to the requests that entries send for callers, or a whole request.

Cause: a server's name in the store, its address, and the names of reservations and of prefilled prompts are text of other writers. They went into header fields and paths as they were. An address with a zero byte passed for an IP address.

--- a/src/transport/endpoint.cpp
+++ b/src/transport/endpoint.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include <net/http_syntax.hpp>
+
 namespace agateseam
 {
 
@@ -22,7 +24,9 @@
             }
         }
     }
-    if (fault || colon == std::string_view::npos || port > 65'535)
+    // The address is also sent in a header field.
+    if (fault || colon == std::string_view::npos || port > 65'535 ||
+        !is_field_value(address))
     {
         return fail(error_code::invalid, "parse address", address,
                     "an address is IP:port");
--- a/tests/site/odd_name_test.py
+++ b/tests/site/odd_name_test.py
@@ -149,6 +149,19 @@
         check_serves(site)
 
 
+def test_a_replica_whose_name_is_no_header_value_is_not_used(build, directory):
+    """Guards against names that add fields to the requests that name their replica."""
+    with make_site(build, directory) as site:
+        odd = site.replicas_of("plain")[0]
+        for name in ("a\r\nX-Odd: 1", "a\nb", "a\x00b", "a\x7fb"):
+            site.run_on_loop(site.store.put, "servers", name, odd.server_spec())
+        site.run_on_loop(site.store.remove, "servers", odd.id)
+        site.start()
+        for number in range(20):
+            check(site.get("/safe/a", entry=number % 2).status == 200)
+        check(not odd.requests, [request.headers for request in odd.requests])
+
+
 def test_an_evacuated_domain_may_have_any_name(build, directory):
     domain = "zone b&+#%"
     with make_site(build, directory) as site:
--- a/tests/unit/platform_documents_test.cpp
+++ b/tests/unit/platform_documents_test.cpp
@@ -87,6 +87,44 @@
     CHECK(decode_server("i-1", draining)->leaving);
 }
 
+// Guards against text of another writer that adds fields to the requests for a server.
+TEST_CASE("a server whose name or address is no value of a header field is rejected")
+{
+    using namespace std::string_literals;
+    for (const std::string& name : {"a\r\nX: 1"s, "a\nb"s, "a\0b"s, "a\x7f"s, "\x01"s})
+    {
+        CAPTURE(name);
+        CHECK(!decode_server(name, server_document()));
+    }
+    CHECK(decode_server("a &+#%/\xc3\xa9", server_document()));
+    for (const std::string& address :
+         {"10.128.0.9\0:8080"s, "10.128.0.9\0\r\nX: 1\r\nY:8080"s,
+          "10.128.0.9\r\n:8080"s})
+    {
+        CAPTURE(address);
+        json document = server_document();
+        document["address"] = address;
+        CHECK(!decode_server("i-1", document));
+    }
+}
+
+TEST_CASE("the text of a server's answer becomes one segment of a path, or is rejected")
+{
+    const auto dialect = make_platform_dialect();
+    const backend_server server = *decode_server("i-1", server_document());
+    CHECK(
+        dialect->write_release_request(server, "a/../b?c d#e%")
+            .starts_with("DELETE /v1/hold-drop/a%2F..%2Fb%3Fc%20d%23e%25 HTTP/1.1\r\n"));
+    CHECK(dialect->write_kv_release_request(server, "a/b\r\nX: 1")
+              .starts_with("DELETE /v1/kv-handle/a%2Fb%0D%0AX%3A%201 HTTP/1.1\r\n"));
+    for (const char* text : {"a\r\nX: 1", "a\nb", "a\x7f"})
+    {
+        CHECK(!dialect->read_prefill_reply(json{{"kv_handle", text}}.dump()));
+        CHECK(!dialect->read_reservation_reply(json{{"hold", text}}.dump()));
+    }
+    CHECK(dialect->read_prefill_reply(R"({"kv_handle":"3fa0"})")->handle == "3fa0");
+}
+
 TEST_CASE("what a configuration says of cold servers and regions is decoded")
 {
     json document = configuration_document();
