Reject answers whose status or transfer coding isn't HTTP's

Callers saw: answers with the statuses 600 and 999, as a failing replica had sent them, on plain, streamed and model paths; and bodies in a transfer coding, such as gzip, that was never asked for, as if they were the answer's.

Cause: Boost.Beast's parser takes any three digits for a status, and passes on the bytes of a transfer coding other than "chunked" as the body. Only the head's end was checked.

Evidence, on: of the invalid status lines and codings in odd_answer_test and upstream_connection_test, 600, 999, gzip, xchunked, identity and "chunked, gzip" became answers. 000 and 099 counted as interim answers, so that a call waited for the next one; 101 too.

Change: a status outside of 100 to 599, and 101, is invalid, and so is any transfer coding but "chunked". It counts as no answer: a repeatable request goes to another server, any other one is answered 502.

Handled already, and kept as tests: blanks, control and zero bytes in names of fields, lines without a colon, control characters in values, several or odd lengths, odd chunks and trailers, other protocols.

--- a/src/transport/message_parser.hpp
+++ b/src/transport/message_parser.hpp
@@ -7,6 +7,8 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <net/http_syntax.hpp>
+
 namespace agateseam
 {
 
@@ -86,14 +88,25 @@
         this->head.version = version;
     }
 
-    void on_response_impl(int status, view, int version, fault&) override
+    void on_response_impl(int status, view, int version, fault& failure) override
     {
+        if (!is_answer_status(status))
+        {
+            failure = boost::beast::http::error::bad_status;
+        }
         this->head.status = status;
         this->head.version = version;
     }
 
-    void on_field_impl(field, view name, view value, fault&) override
+    void on_field_impl(field id, view name, view value, fault& failure) override
     {
+        // No transfer coding but "chunked" is ever asked for. The parser would pass on
+        // the bytes of any other one as the body.
+        if (!is_request && id == field::transfer_encoding &&
+            !equals_ignoring_case(to_string(value), "chunked"))
+        {
+            failure = boost::beast::http::error::bad_transfer_encoding;
+        }
         this->head_text_size += name.size() + value.size();
         this->head.fields.push_back({to_string(name), to_string(value)});
     }
--- a/tests/site/odd_answer_test.py
+++ b/tests/site/odd_answer_test.py
@@ -53,6 +53,25 @@
     return handle
 
 
+CALLS = {"safe": lambda site, **headers: site.get("/safe/a", **headers),
+         "once": lambda site, **headers: site.post("/once/a", **headers),
+         "draft": lambda site, **headers: site.request_stream(**headers),
+         "resumable": lambda site, **headers: site.request_stream("/resume/a", **headers)}
+
+
+def test_an_answer_that_is_not_valid_http_reaches_no_caller(build, directory):
+    wrong = []
+    with start_site(build, directory) as site:
+        for number, kind in enumerate(ODD_HEADS):
+            for replica in site.replicas:
+                replica.handler = odd_answer(kind, False)
+            for path, call in CALLS.items():
+                answer = call(site, Agateseam_Request_Id=f"{path}-{number}")
+                if answer.status not in FAILURES or BODY in answer.body:
+                    wrong.append((kind, path, answer.status, answer.body[:40]))
+    check(not wrong, len(wrong), wrong)
+
+
 def test_an_odd_answer_to_a_call_before_a_stream_is_none(build, directory):
     """Guards against reservations and prefills that were answered with something else."""
     with start_site(build, directory) as site:
--- a/tests/unit/upstream_connection_test.cpp
+++ b/tests/unit/upstream_connection_test.cpp
@@ -225,3 +225,113 @@
         }
     }
 }
+
+namespace
+{
+
+/// Returns answers that aren't valid HTTP, each with a complete body of the letters
+/// "body" if it is read regardless.
+std::vector<std::string> invalid_answers()
+{
+    const std::string body = "Content-Length: 4\r\n\r\nbody";
+    std::vector<std::string> answers;
+    for (const std::string_view status_line :
+         {"HTTP/1.1 000 X", "HTTP/1.1 001 X", "HTTP/1.1 099 X", "HTTP/1.1 101 X",
+          "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 20 X", "HTTP/1.1 2000 X",
+          "HTTP/1.1 -20 X", "HTTP/1.1 2x0 X", "HTTP/1.1  200 X", "HTTP/2.0 200 X",
+          "HTTP/11 200 X", "HTTP 200 X", "ICY 200 OK", "HTTP/1.1 200 X\x01Y",
+          " HTTP/1.1 200 X"})
+    {
+        answers.push_back(std::string(status_line) + "\r\n" + body);
+    }
+    using namespace std::string_literals;
+    for (const std::string& line : {"Na me: v"s,
+                                    "Name : v"s,
+                                    "Na\x01me: v"s,
+                                    "Na\x7fme: v"s,
+                                    "Na\0me: v"s,
+                                    "Na\x80me: v"s,
+                                    "Na\tme: v"s,
+                                    "Na(me: v"s,
+                                    ": v"s,
+                                    "no colon"s,
+                                    "Name: v\0w"s,
+                                    "Name: v\x01w"s,
+                                    "Name: v\x7fw"s,
+                                    "Name: v\rw"s,
+                                    "Name: v\nw"s,
+                                    "Content-Length: 3"s,
+                                    "Content-Length: 4, 5"s,
+                                    "Content-Length: +4"s,
+                                    "Content-Length: -4"s,
+                                    "Content-Length: 0x4"s,
+                                    "Content-Length: 4 4"s,
+                                    "Content-Length: "s,
+                                    "Content-Length: 99999999999999999999999"s,
+                                    "Transfer-Encoding: gzip"s,
+                                    "Transfer-Encoding: xchunked"s,
+                                    "Transfer-Encoding: chunked, gzip"s,
+                                    "Transfer-Encoding: gzip, chunked"s,
+                                    "Transfer-Encoding: identity"s})
+    {
+        answers.push_back("HTTP/1.1 200 X\r\n" + line + "\r\n" + body);
+    }
+    for (const std::string_view chunks :
+         {"g\r\nbody\r\n0\r\n\r\n", "-4\r\nbody\r\n0\r\n\r\n", "4\r\nbodyX\r\n0\r\n\r\n",
+          "\r\nbody\r\n0\r\n\r\n", "10000000000000004\r\nbody\r\n0\r\n\r\n",
+          "4\r\nbody\r\n0\r\nNa me: v\r\n\r\n"})
+    {
+        answers.push_back("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                          std::string(chunks));
+    }
+    return answers;
+}
+
+} // namespace
+
+// Guards against an answer that isn't valid HTTP and is passed on, whole or in part.
+TEST_CASE("an answer that is not valid HTTP is garbled")
+{
+    for (const std::string& answer : invalid_answers())
+    {
+        CAPTURE(answer);
+        const one_connection_server server(
+            [&answer](int connection)
+            {
+                read_request(connection, 10);
+                send_text(connection, answer);
+                ::close(connection);
+            });
+        const read_result fetched = fetch(server, 10);
+        const io_outcome end =
+            fetched.head == io_outcome::good ? fetched.body : fetched.head;
+        CHECK(end == io_outcome::garbled);
+    }
+}
+
+TEST_CASE("each status of HTTP is accepted")
+{
+    for (const std::string_view status : {"200", "299", "404", "418", "503", "599"})
+    {
+        CAPTURE(status);
+        const one_connection_server server(
+            [status](int connection)
+            {
+                read_request(connection, 10);
+                send_text(connection, "HTTP/1.1 " + std::string(status) +
+                                          "\r\nX-\xc3\x9c: no token\r\n");
+                ::close(connection);
+            });
+        const one_connection_server sound(
+            [status](int connection)
+            {
+                read_request(connection, 10);
+                send_text(connection, "HTTP/1.1 " + std::string(status) +
+                                          " \xc3\x9c\r\nX: \xc3\x9c\tx \r\n"
+                                          "Content-Length: 4\r\n\r\nbody");
+                ::close(connection);
+            });
+        CHECK(fetch(server, 10).head == io_outcome::garbled);
+        CHECK(fetch(sound, 10).bytes == "body");
+    }
+}
