Reject answers that aren't valid HTTP in the daemon

Callers saw: answers with the statuses 600 and 999, and answers in whose head the name of a field held a blank or a control byte, or whose length was contradicted, with a body that was not the server's; with the body of another transfer coding also a part as whole.

Cause: libcurl takes any three digits for a status, doesn't check names and values, takes the first digits of a length, and decodes or passes on any transfer coding. A status of 101 ends as a final answer. Whatever libcurl accepted went to the caller.

Change: the callback for the head checks each line: the status, names, values, lengths and the transfer coding, with the functions that the entry's adapter uses. An invalid answer ends its call as `broken`, so a call that may not be repeated is answered "unknown".

--- a/src/net/curl_call.cpp
+++ b/src/net/curl_call.cpp
@@ -1,9 +1,12 @@
 #include <net/curl_call.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <string_view>
 #include <strings.h>
 
+#include <net/http_syntax.hpp>
+
 namespace agateseam
 {
 
@@ -12,28 +15,97 @@
 
 using std::chrono::steady_clock;
 
+/// Ends the call because of what its server sends.
+std::size_t reject(curl_call& state, const char* reason)
+{
+    state.rejection = reason;
+    return 0;
+}
+
+bool is_status_line_valid(std::string_view line)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t minor_size = 1;
+    constexpr std::size_t code_size = 3;
+    constexpr std::size_t code_begin = version.size() + minor_size + 1;
+    constexpr std::size_t code_end = code_begin + code_size;
+    int code = 0;
+    const auto parsed =
+        line.size() < code_end
+            ? std::from_chars_result{nullptr, std::errc::invalid_argument}
+            : std::from_chars(line.data() + code_begin, line.data() + code_end, code);
+    return line.starts_with(version) && line[code_begin - 1] == ' ' &&
+           parsed.ec == std::errc{} && parsed.ptr == line.data() + code_end &&
+           is_answer_status(code) && (line.size() == code_end || line[code_end] == ' ') &&
+           is_field_value(line);
+}
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const std::size_t begin = std::min(text.find_first_not_of(blanks), text.size());
+    return text.substr(begin, text.find_last_not_of(blanks) + 1 - begin);
+}
+
+bool equals_ignoring_case(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() &&
+           ::strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+/// libcurl takes the first number of a length, and decodes or passes on what comes in
+/// other transfer codings than chunks.
+bool is_framing_valid(const std::vector<http_header>& fields, std::string_view name,
+                      std::string_view value)
+{
+    if (equals_ignoring_case(name, "Transfer-Encoding"))
+    {
+        return equals_ignoring_case(value, "chunked");
+    }
+    if (!equals_ignoring_case(name, "Content-Length"))
+    {
+        return true;
+    }
+    std::uint64_t length = 0;
+    const auto parsed =
+        std::from_chars(value.data(), value.data() + value.size(), length);
+    return parsed.ec == std::errc{} && parsed.ptr == value.data() + value.size() &&
+           std::none_of(fields.begin(), fields.end(),
+                        [&](const http_header& field) {
+                            return equals_ignoring_case(field.first, name) &&
+                                   field.second != value;
+                        });
+}
+
 std::size_t on_header(char* data, std::size_t, std::size_t size, void* context)
 {
     auto& state = *static_cast<curl_call*>(context);
     std::string_view line(data, size);
-    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
-    {
-        line.remove_suffix(1);
-    }
+    line.remove_suffix(line.ends_with('\n') ? 1 : 0);
+    line.remove_suffix(line.ends_with('\r') ? 1 : 0);
     const std::size_t colon = line.find(':');
-    if (line.starts_with("HTTP/"))
+    if (!state.is_in_head && line.starts_with("HTTP/"))
     {
         state.answer_headers.clear();
+        state.is_in_head = true;
+        return is_status_line_valid(line)
+                   ? size
+                   : reject(state, "the answer's status line is invalid");
+    }
+    if (line.empty())
+    {
+        state.is_in_head = false;
+        return size;
     }
-    else if (colon != std::string_view::npos)
+    const std::string_view name = line.substr(0, colon);
+    const std::string_view value =
+        colon == std::string_view::npos ? "" : trim(line.substr(colon + 1));
+    if (colon == std::string_view::npos || !is_field_name(name) ||
+        !is_field_value(value) || !is_framing_valid(state.answer_headers, name, value))
     {
-        std::string_view value = line.substr(colon + 1);
-        while (!value.empty() && value.front() == ' ')
-        {
-            value.remove_prefix(1);
-        }
-        state.answer_headers.emplace_back(line.substr(0, colon), value);
+        return reject(state, "a field of the answer is invalid");
     }
+    state.answer_headers.emplace_back(name, value);
     return size;
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -208,7 +208,9 @@
             {
                 this->end(state->id,
                           fail(classify_failure(code, *state), state->call.step,
-                               state->call.url, curl_easy_strerror(code)));
+                               state->call.url,
+                               state->rejection != nullptr ? state->rejection
+                                                           : curl_easy_strerror(code)));
             }
         }
     }
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -94,6 +94,52 @@
     CHECK(reply->body == "whole");
 }
 
+// Guards against an answer that isn't valid HTTP and is passed on, whole or in part.
+TEST_CASE("a call whose answer is not valid HTTP fails")
+{
+    using namespace std::string_literals;
+    const std::string body = "Content-Length: 4\r\n\r\nbody";
+    std::vector<std::string> answers;
+    for (const std::string_view status_line :
+         {"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 101 X", "HTTP/1.1 600 X",
+          "HTTP/1.1 999 X", "HTTP/1.1 20 X", "HTTP/1.1 2000 X", "HTTP/1.1 2x0 X",
+          "HTTP/1.1  200 X", "HTTP 200 X", "ICY 200 OK", "HTTP/1.1 200 X\x01Y"})
+    {
+        answers.push_back(std::string(status_line) + "\r\n" + body);
+    }
+    for (const std::string& line : {"Na me: v"s,
+                                    "Name : v"s,
+                                    "Na\x01me: v"s,
+                                    "Na\x7fme: v"s,
+                                    "Na\0me: v"s,
+                                    "Na\x80me: v"s,
+                                    ": v"s,
+                                    "no colon"s,
+                                    "Name: v\0w"s,
+                                    "Name: v\x01w"s,
+                                    "Name: v\rw"s,
+                                    "A: b\r\n folded: v"s,
+                                    "Content-Length: 3"s,
+                                    "Content-Length: 4, 5"s,
+                                    "Content-Length: +4"s,
+                                    "Content-Length: 0x4"s,
+                                    "Content-Length: "s,
+                                    "Transfer-Encoding: gzip"s,
+                                    "Transfer-Encoding: identity"s,
+                                    "Transfer-Encoding: gzip, chunked"s})
+    {
+        answers.push_back("HTTP/1.1 200 X\r\n" + line + "\r\n" + body);
+    }
+    answers.emplace_back("HTTP/1.1 200 X\r\nTransfer-Encoding: identity\r\n\r\nbo");
+    for (const std::string& answer : answers)
+    {
+        CAPTURE(answer);
+        const auto reply = fetch_fixed_answer(answer);
+        REQUIRE(!reply);
+        CHECK(reply.error().code == error_code::broken);
+    }
+}
+
 // Guards against a call that a server read on a kept connection and that counts as not
 // sent because the client's own repeat finds no listener.
 TEST_CASE("a call that was sent on a kept connection may have run")
