Bound the answers that the daemon reads

Callers saw: an agent that grew to 11.7 GB in 30 s while 16 callers waited for a service whose answer never ended; 64 MB were allowed. The machine would have ended it, and all of its requests with it. A stream whose engine fails with a body without end was given up by its caller after 30 s, not answered.

Cause: answers that are collected had no limit, nor had the lines of a head, an event without its end, or the body of an engine's failure, which is skipped.

Change: a head, with interim answers before it, has at most 256 KB; a collected answer 16 MB, or what its call says; an event 1 MB; a failure's body is read for 64 KB, so that its connection may be used again, and its status counts then. Collected answers count in the budget of the process, a quarter of `listen.memory_mb` beside that of callers: over it, the largest ones are dropped. A dropped answer is `broken`, so its run stays unknown.

--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -145,7 +145,8 @@
     {
         if (this->engine_status != status_ok)
         {
-            return true;
+            this->failure_bytes += data.size();
+            return !this->is_failure_oversize();
         }
         this->events.feed(data);
         while (const auto event = this->events.next())
@@ -155,7 +156,7 @@
                 return false;
             }
         }
-        return !this->exchange->disconnected();
+        return !this->exchange->disconnected() && !this->events.is_oversize();
     }
 
     void on_done(const result<void>& outcome) override
@@ -166,7 +167,7 @@
             this->exchange->write(to_text({"", "", stream_end}));
             this->finish(run_state::ran);
         }
-        else if (!outcome)
+        else if (!outcome && !this->is_failure_oversize())
         {
             this->context->note_backend_error(outcome.error());
             this->end(run_state::ran, outcome.error());
@@ -181,6 +182,13 @@
     }
 
   private:
+    /// Tells whether the body of a failure is too long to be read to its end.
+    [[nodiscard]] bool is_failure_oversize() const noexcept
+    {
+        constexpr std::size_t max_failure_bytes = 64 << 10;
+        return this->failure_bytes > max_failure_bytes;
+    }
+
     /// Tells whether the engine's status says that it did not begin the request.
     [[nodiscard]] bool refused_by_engine() const noexcept
     {
@@ -502,6 +510,7 @@
     time_point first_token_at;
     time_point last_token_at;
     int engine_status = 0;
+    std::size_t failure_bytes = 0; ///< Of the engine's answer, if it failed.
     bool stream_complete = false;
     std::mutex start_mutex; ///< Held by start() until the stream has begun.
     std::mutex mutex;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,11 +1,13 @@
 /// The daemon's main program: validates the settings, runs the role, stops on a signal.
 #include <csignal>
 #include <iostream>
+#include <limits>
 #include <thread>
 
 #include <cxxopts.hpp>
 #include <easylogging++.h>
 
+#include <agateseam/memory_budget.hpp>
 #include <agateseam/version.hpp>
 #include <daemon/daemon.hpp>
 
@@ -67,6 +69,8 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return_large_buffers();
+    process_memory_budget().set_limits(held_memory_limit(settings.listen.memory_bytes),
+                                       std::numeric_limits<std::size_t>::max());
     start_log(settings.vm, settings.log);
     auto running =
         settings.role == daemon_role::entry ? make_entry(settings) : make_agent(settings);
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -145,7 +145,7 @@
                 return false;
             }
         }
-        return !this->exchange->disconnected();
+        return !this->exchange->disconnected() && !this->events.is_oversize();
     }
 
     void on_done(const result<void>& outcome) override
--- a/src/daemon/server_sent_events.hpp
+++ b/src/daemon/server_sent_events.hpp
@@ -33,6 +33,13 @@
         return this->offset < this->buffer.size();
     }
 
+    /// \brief Tells whether the incomplete event is larger than any event is.
+    [[nodiscard]] bool is_oversize() const noexcept
+    {
+        constexpr std::size_t max_event_bytes = 1 << 20;
+        return this->buffer.size() - this->offset > max_event_bytes;
+    }
+
   private:
     std::string buffer;
     std::size_t offset = 0;
--- a/src/net/curl_call.cpp
+++ b/src/net/curl_call.cpp
@@ -15,6 +15,9 @@
 
 using std::chrono::steady_clock;
 
+/// All lines of a head together, with those of interim answers before it.
+constexpr std::size_t max_head_bytes = 256 << 10;
+
 /// Ends the call because of what its server sends.
 std::size_t reject(curl_call& state, const char* reason)
 {
@@ -80,6 +83,11 @@
 std::size_t on_header(char* data, std::size_t, std::size_t size, void* context)
 {
     auto& state = *static_cast<curl_call*>(context);
+    state.head_bytes += size;
+    if (state.head_bytes > max_head_bytes)
+    {
+        return reject(state, "the answer's head is too large");
+    }
     std::string_view line(data, size);
     line.remove_suffix(line.ends_with('\n') ? 1 : 0);
     line.remove_suffix(line.ends_with('\r') ? 1 : 0);
--- a/src/net/curl_call.hpp
+++ b/src/net/curl_call.hpp
@@ -24,7 +24,8 @@
     bool head_reported = false;
     bool cancelled_by_sink = false;
     bool has_body = false;
-    bool is_in_head = false;         ///< Between a status line and the end of its head.
+    bool is_in_head = false; ///< Between a status line and the end of its head.
+    std::size_t head_bytes = 0;
     const char* rejection = nullptr; ///< Why the answer was rejected, if it was.
     /// When the last byte came, or the call began.
     std::chrono::steady_clock::time_point last_activity;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -12,6 +12,7 @@
 
 #include <curl/curl.h>
 
+#include <agateseam/memory_budget.hpp>
 #include <net/curl_call.hpp>
 #include <net/machine_limits.hpp>
 
@@ -288,15 +289,24 @@
     std::vector<std::unique_ptr<client_thread>> threads;
 };
 
-/// Collects a complete answer.
-class collecting_sink final : public http_sink
+/// Collects a complete answer, within the limit of its call and the memory of the
+/// process.
+class collecting_sink final : public http_sink, private memory_holder
 {
   public:
-    explicit collecting_sink(std::function<void(result<http_reply>)> done_action)
-        : done(std::move(done_action))
+    collecting_sink(const http_call& call,
+                    std::function<void(result<http_reply>)> done_action)
+        : step(call.step)
+        , url(call.url)
+        , max_body_bytes(call.max_body_bytes)
+        , done(std::move(done_action))
     {
     }
 
+    ~collecting_sink() override { process_memory_budget().remove(*this); }
+    collecting_sink(const collecting_sink&) = delete;
+    collecting_sink& operator=(const collecting_sink&) = delete;
+
     void on_head(int status, const std::vector<http_header>& headers) override
     {
         this->reply.status = status;
@@ -305,13 +315,27 @@
 
     [[nodiscard]] bool on_data(std::string_view data) override
     {
+        this->is_too_large = this->reply.body.size() + data.size() > this->max_body_bytes;
+        if (this->is_too_large || this->is_released)
+        {
+            return false;
+        }
         this->reply.body.append(data);
+        const time_point now = steady_clock::now();
+        process_memory_budget().update(
+            *this, {this->reply.body.capacity(), hold_kind::in_progress, 0, now}, now);
         return true;
     }
 
     void on_done(const result<void>& outcome) override
     {
-        if (outcome)
+        if (this->is_too_large || (this->is_released && !outcome))
+        {
+            this->done(fail(error_code::broken, this->step, this->url,
+                            this->is_too_large ? "the answer is too large"
+                                               : "the process holds too much"));
+        }
+        else if (outcome)
         {
             this->done(std::move(this->reply));
         }
@@ -322,7 +346,15 @@
     }
 
   private:
+    /// The next bytes of the answer, or its end, free what it has brought.
+    void release(resource_shortage) override { this->is_released = true; }
+
+    std::string step;
+    std::string url;
+    std::size_t max_body_bytes;
     http_reply reply;
+    bool is_too_large = false;
+    std::atomic<bool> is_released{false}; ///< The process holds too much.
     std::function<void(result<http_reply>)> done;
 };
 
@@ -344,8 +376,8 @@
 http_client::call_id
 http_client::fetch_async(http_call call, std::function<void(result<http_reply>)> done)
 {
-    return this->start(std::move(call),
-                       std::make_shared<collecting_sink>(std::move(done)));
+    auto sink = std::make_shared<collecting_sink>(call, std::move(done));
+    return this->start(std::move(call), std::move(sink));
 }
 
 result<http_reply> http_client::fetch(http_call call)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -28,7 +28,9 @@
     std::chrono::milliseconds idle_timeout{0};  ///< Time without a byte; 0 sets no limit.
     bool fresh_connection = false; ///< Uses no pooled connection: libcurl repeats a
                                    ///< request when a pooled connection is dead.
-    std::string step = "call";     ///< The `step` of the errors of this call.
+    /// Of an answer that is collected: `fetch` fails as `broken` for a larger one.
+    std::size_t max_body_bytes = std::size_t{16} << 20;
+    std::string step = "call"; ///< The `step` of the errors of this call.
 };
 
 /// \brief Receives an answer as it arrives; called on one of the client's threads.
--- a/tests/process/odd_answer_test.py
+++ b/tests/process/odd_answer_test.py
@@ -204,8 +204,41 @@
     fleet.check_serves("early answers")
 
 
+def send_without_end(kind):
+    first, block = ENDLESS[kind]
+
+    def answer(connection):
+        connection.sendall(first)
+        while True:
+            connection.sendall(block)
+    return answer
+
+
+def test_bytes_without_end_are_not_kept(fleet):
+    for names, call in (("service", fleet.look), ("decode", lambda: fleet.complete(True)),
+                        ("prefill", lambda: fleet.complete(True))):
+        for kind in ENDLESS:
+            fleet.set_answer((names,), send_without_end(kind))
+            answers = []
+            threads = [threading.Thread(target=lambda: answers.append(call()))
+                       for _ in range(CALLERS)]
+            began = time.monotonic()
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            print(f"  {names}, {kind}: {time.monotonic() - began:.1f} s,",
+                  sorted({str(answer[0]) for answer in answers}), flush=True)
+            fleet.check_memory((names, kind))
+            check(all(is_failure(answer) for answer in answers), names, kind,
+                  [(answer[0], answer[2][:40]) for answer in answers])
+            fleet.set_answer((), None)
+    fleet.check_serves("bytes without end")
+
+
 TESTS = [test_an_answer_that_is_not_valid_http_reaches_no_caller,
-         test_an_early_answer_to_an_upload_that_breaks_off_is_none]
+         test_an_early_answer_to_an_upload_that_breaks_off_is_none,
+         test_bytes_without_end_are_not_kept]
 
 
 def main():
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -1,3 +1,4 @@
+#include <sstream>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -74,6 +75,27 @@
     return (*client)->fetch(call);
 }
 
+/// Returns the beginning of an answer in whose head a part comes again and again, or in
+/// whose body if the part is a single letter.
+std::string make_long_answer(std::string_view repeated)
+{
+    constexpr std::size_t size = 64 << 20;
+    std::ostringstream bytes;
+    if (!repeated.starts_with("HTTP"))
+    {
+        bytes << "HTTP/1.1 200 X\r\n";
+    }
+    if (repeated.size() == 1)
+    {
+        bytes << "Content-Length: 999999999\r\n\r\n";
+    }
+    for (std::size_t written = 0; written < size; written += repeated.size())
+    {
+        bytes << repeated;
+    }
+    return bytes.str();
+}
+
 } // namespace
 
 TEST_CASE("an answer that the server cuts short is an error")
@@ -140,6 +162,19 @@
     }
 }
 
+TEST_CASE("an answer without end is broken off")
+{
+    for (const std::string_view repeated :
+         {"Name: value\r\n", "HTTP/1.1 100 Continue\r\n\r\n", "x"})
+    {
+        CAPTURE(repeated);
+        const auto reply = fetch_fixed_answer(make_long_answer(repeated));
+        REQUIRE(!reply);
+        CHECK(reply.error().code == error_code::broken);
+        CHECK(reply.error().description.find("too large") != std::string::npos);
+    }
+}
+
 // Guards against a call that a server read on a kept connection and that counts as not
 // sent because the client's own repeat finds no listener.
 TEST_CASE("a call that was sent on a kept connection may have run")
--- a/tests/unit/server_sent_events_test.cpp
+++ b/tests/unit/server_sent_events_test.cpp
@@ -60,3 +60,17 @@
             RC_ASSERT(!events.partial());
         }));
 }
+
+TEST_CASE("an event without an end becomes oversize")
+{
+    event_splitter events;
+    events.feed("data: a\n\ndata: ");
+    REQUIRE(events.next());
+    CHECK(!events.is_oversize());
+    for (int part = 0; part < 3; ++part)
+    {
+        events.feed(std::string(512 << 10, 'x'));
+        CHECK(!events.next());
+        CHECK(events.is_oversize() == (part > 0));
+    }
+}
