Survive an odd object in place of a part block

Callers saw: nothing yet; every entry would end at the same moment, again after each start.

Cause: to replace a stored block, an entry read its revision from the object as if its metadata were always an object with one. Otherwise an assertion of the JSON library ended the process, or an exception ended the coroutine, after which the entry stored no blocks any more. Of an object that can't be read as a whole, the metadata was lost, too, if other writers' members of it can't be read.

A single object keeps the members of its metadata that can be read, as in lists.

--- a/tests/unit/store_document_test.cpp
+++ b/tests/unit/store_document_test.cpp
@@ -69,6 +69,11 @@
             R"(,"name":"a","revision":3,"labels":)" + odd + R"(},"spec":{}}]})");
         REQUIRE(list["items"].size() == 1);
         CHECK(list["items"][0]["metadata"] == json{{"name", "a"}, {"revision", 3}});
+        const json single =
+            parse_store_document(R"({"metadata":{"name":"a","revision":3,"finalizers":)" +
+                                 odd + R"(},"spec":{"number":1}})");
+        CHECK(single["metadata"] == json{{"name", "a"}, {"revision", 3}});
+        CHECK(single["spec"] == json{{"number", 1}});
     }
 }
 
