Leave our own large answers to the daemon their room

Callers saw: nothing yet. The bound of collected answers, 16 MB, held for all calls of the daemon and the command line. At the size of the plan the lists of usage records, which carry their values, and the configuration of 31,000 workspaces may be larger.

Cause: the default of "Bound the answers that the daemon reads" was that of the answers of engines and services; found by reading the callers of `fetch`.

Change: calls of agents to their backends set 16 MB; others have 256 MB, within the memory of the process. The command line, which runs by itself, has no bound of its own memory.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -2,9 +2,11 @@
 #include <array>
 #include <cstdlib>
 #include <iostream>
+#include <limits>
 
 #include <easylogging++.h>
 
+#include <agateseam/memory_budget.hpp>
 #include <agateseam/version.hpp>
 #include <net/log.hpp>
 
@@ -148,6 +150,8 @@
     const auto arguments = make_options().parse(argc, argv);
     // Standard output is for what a command prints, which programs may read.
     start_log("agateseam", log_level::warning, STDERR_FILENO);
+    constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+    process_memory_budget().set_limits(unlimited, unlimited);
     if (arguments.count("help") > 0)
     {
         print_help(std::cout);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -246,6 +246,7 @@
         call.method = "POST";
         call.url = this->context->settings.backend.url + "/orders";
         call.step = "order";
+        call.max_body_bytes = max_backend_answer_bytes;
         call.total_timeout = this->context->settings.limits.first_token_timeout;
         call.fresh_connection = true;
         call.body = exchange->take_body();
--- a/src/daemon/agent_context.cpp
+++ b/src/daemon/agent_context.cpp
@@ -85,6 +85,7 @@
     http_call list;
     list.url = this->settings.backend.url + (service ? "/healthz" : "/requests");
     list.step = "reconcile";
+    list.max_body_bytes = max_backend_answer_bytes;
     list.total_timeout = engine_timeout;
     const auto reply = this->client->fetch(std::move(list));
     if (!reply || service || reply->status != status_ok)
@@ -108,6 +109,7 @@
     abort.method = "POST";
     abort.url = this->settings.backend.url + "/abort";
     abort.step = "cancel";
+    abort.max_body_bytes = max_backend_answer_bytes;
     abort.total_timeout = engine_timeout;
     abort.body = nlohmann::json{{"request_id", engine_id}}.dump();
     abort.fresh_connection = true;
--- a/src/daemon/agent_context.hpp
+++ b/src/daemon/agent_context.hpp
@@ -21,6 +21,9 @@
 namespace agateseam
 {
 
+/// Of an engine's or a service's answer that is collected; larger ones are not expected.
+inline constexpr std::size_t max_backend_answer_bytes = 16 << 20;
+
 /// \brief Receives a call at each heartbeat of an agent.
 class heartbeat_listener
 {
--- a/src/daemon/prefill_attempt.cpp
+++ b/src/daemon/prefill_attempt.cpp
@@ -127,6 +127,7 @@
         call.method = "POST";
         call.url = this->context->settings.backend.url + this->order.path;
         call.step = "prefill";
+        call.max_body_bytes = max_backend_answer_bytes;
         call.total_timeout = this->order.deadline;
         call.headers = {{"Content-Type", "application/json"},
                         {"x-request-id", to_text(this->order.id)}};
--- a/src/daemon/service_attempt.cpp
+++ b/src/daemon/service_attempt.cpp
@@ -38,6 +38,7 @@
         call.method = this->order.method;
         call.url = this->context->settings.backend.url + this->order.path;
         call.step = "service";
+        call.max_body_bytes = max_backend_answer_bytes;
         call.total_timeout = this->order.deadline;
         call.fresh_connection = !this->order.repeatable;
         call.headers = {{"x-request-id", this->order.id.request}};
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -29,7 +29,7 @@
     bool fresh_connection = false; ///< Uses no pooled connection: libcurl repeats a
                                    ///< request when a pooled connection is dead.
     /// Of an answer that is collected: `fetch` fails as `broken` for a larger one.
-    std::size_t max_body_bytes = std::size_t{16} << 20;
+    std::size_t max_body_bytes = std::size_t{256} << 20;
     std::string step = "call"; ///< The `step` of the errors of this call.
 };
 
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -72,6 +72,7 @@
     REQUIRE(client);
     http_call call;
     call.url = "http://127.0.0.1:" + std::to_string(server.port) + "/";
+    call.max_body_bytes = 1 << 20;
     return (*client)->fetch(call);
 }
 
