Let promise_test's stand-in tell connections apart

Its stand-in knew a connection by id(writer), which Python gives again to a new connection when the former is closed, so it repeated a refusal on a connection that had never carried it.

Change: the writer itself is the key, which keeps it. What is checked is unchanged.

--- a/tests/site/promise_test.py
+++ b/tests/site/promise_test.py
@@ -177,14 +177,15 @@
     async def handle(replica, request, _reader, writer):
         if request.target.startswith("/v1/"):
             return None
-        earlier = sent_before.get((id(writer), request.id))
+        # The writer itself, as Python gives the id of a closed one to another.
+        earlier = sent_before.get((writer, request.id))
         if earlier:
             sent_before["repeated"] = earlier
             writer.write(earlier)
         if request.header("Agateseam-Expect-Instance") != replica.id:
             refusal = response_bytes(421, {}, [("Agateseam-Not-Executed", "1")]
                                      + replica.id_headers(request))
-            sent_before[(id(writer), request.id)] = refusal
+            sent_before[(writer, request.id)] = refusal
             writer.write(refusal)
             return True
         return None
