Move store_availability to the library

It decides without I/O whether the store had an outage, so it belongs beside the other decisions rather than in the adapter. No change of behaviour.

--- a/include/agateseam/agateseam.hpp
+++ b/include/agateseam/agateseam.hpp
@@ -47,6 +47,7 @@
 #include <agateseam/share_transport.hpp>
 #include <agateseam/static_admission.hpp>
 #include <agateseam/stop_schedule.hpp>
+#include <agateseam/store_availability.hpp>
 #include <agateseam/store_budget.hpp>
 #include <agateseam/store_position.hpp>
 #include <agateseam/store_watch_plan.hpp>
--- a/include/agateseam/forward_declarations.hpp
+++ b/include/agateseam/forward_declarations.hpp
@@ -156,6 +156,7 @@
 struct object_change;
 class change_history;
 struct watch_candidate;
+class store_availability;
 struct store_position;
 struct store_watch_plan;
 
--- a/tests/unit/store_availability_test.cpp
+++ b/tests/unit/store_availability_test.cpp
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include <platform/store_availability.hpp>
+#include <agateseam/store_availability.hpp>
 
 using namespace agateseam;
 using namespace std::chrono_literals;
