Let the stand-in's store refuse watches that waited when it went away

Cause, in the stand-in: a watch that waited when its store went away was answered with the changes made meanwhile, as if the store were up. Whether the entry knew of the outage by then depended on its first lists of entries, which come at short intervals only after its start. The test itself is unchanged.

A store that isn't up now answers no call, whenever it began.

--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -248,26 +248,32 @@
         self.history, self.oldest_revision = [], self.revision + 1
         self.revision += 1
 
-    async def handle_request(self, request, reader, writer):
-        self.calls.append((request.method, request.target))
-        self.open_calls[writer] = request
+    async def refuse(self, writer):
+        """Treats a call as a store does that isn't up; returns whether the connection is kept."""
         if self.mode == "silent":
             await asyncio.sleep(3600)
         if self.mode == "reset":
             reset_connection(writer)
             return False
+        names_era = [("Store-Era", self.era)] if self.refuses_with_era else []
+        writer.write(response_bytes(503, {}, names_era))
+        return True
+
+    async def handle_request(self, request, reader, writer):
+        self.calls.append((request.method, request.target))
+        self.open_calls[writer] = request
         era = self.era
-        if self.mode == "busy":
-            names_era = [("Store-Era", era)] if self.refuses_with_era else []
-            writer.write(response_bytes(503, {}, names_era))
-            return True
+        if self.mode != "up":
+            return await self.refuse(writer)
         try:
             status, body = await self.handle_call(request)
         except ValueError:
             writer.write(response_bytes(400, {}, [("Store-Era", era)]))
             return False
-        if self.mode == "silent" or era != self.era:
+        if era != self.era:
             await asyncio.sleep(3600)  # Connections of the older era return nothing further.
+        if self.mode != "up":
+            return await self.refuse(writer)  # The call waited when the store went away.
         if self.response_delay:
             await asyncio.sleep(self.response_delay(request))
         sent_body = json.dumps(body).encode()
@@ -331,6 +337,8 @@
     async def watch(self, kind, after_revision, wait_ms):
         deadline = time.monotonic() + wait_ms / 1000
         while True:
+            if self.mode != "up":
+                return 503, {}
             if not self.oldest_revision <= after_revision <= self.revision:
                 return 410, {}
             events = [event for revision, event_kind, event in self.history
