Count only the store's own silence as its outage

Cause: a failed call to a relay was recorded like a failed call to the store, so 0.8 s of dead relays made an outage of a store that was up. After an outage a missing server is kept for 1.8 s in case its object only lapsed, which came on top of the 2.0 s until the removal was known.

Evidence: the followers' logs have four failed relays, no failed call to the store, and the removal learned at 2.0 to 2.1 s with after_outage true. So the news wasn't too late by itself.

Change: only a call to the store that gets no response begins a silence. Relays report, in header fields, when the store last responded to them and since when it has responded to all calls; such a report ends a silence, without an outage if the store served the relay all the while. If all relays refuse, the store is asked at once, or a short outage would be over before this entry's first call. The log says whose silence began and whose answer ended it.

--- a/src/gateway/document_transfer.cpp
+++ b/src/gateway/document_transfer.cpp
@@ -1,6 +1,8 @@
 #include <gateway/document_transfer.hpp>
 
 #include <charconv>
+#include <iterator>
+#include <vector>
 
 #include <agateseam/document_codec.hpp>
 #include <net/log.hpp>
@@ -17,6 +19,29 @@
 constexpr std::string_view encoding_field = "Content-Encoding";
 constexpr std::string_view encoding_name = "zstd";
 constexpr std::string_view base_field = "x-agateseam-base";
+constexpr std::string_view response_age_field = "x-agateseam-store-response-age-ms";
+constexpr std::string_view responding_field = "x-agateseam-store-responding-ms";
+
+/// Returns a time that a header field gives in whole milliseconds.
+std::optional<duration> read_milliseconds(std::string_view text)
+{
+    std::uint32_t count = 0;
+    const auto [end, failure] =
+        std::from_chars(text.data(), text.data() + text.size(), count);
+    const bool is_number =
+        failure == std::errc{} && !text.empty() && end == text.data() + text.size();
+    return is_number ? std::optional<duration>(std::chrono::milliseconds(count))
+                     : std::nullopt;
+}
+
+/// Rounds the age up, so that a response never seems newer than it is.
+std::vector<header_field> to_fields(const store_report& report)
+{
+    const auto age = std::chrono::ceil<std::chrono::milliseconds>(report.since_response);
+    return {{std::string(response_age_field), std::to_string(age.count())},
+            {std::string(responding_field),
+             std::to_string(whole_milliseconds(report.responding_for))}};
+}
 
 } // namespace
 
@@ -74,9 +99,22 @@
         head.fields.push_back(
             {std::string(base_field), std::to_string(document.base_hash)});
     }
+    if (document.store)
+    {
+        std::vector<header_field> fields = to_fields(*document.store);
+        std::move(fields.begin(), fields.end(), std::back_inserter(head.fields));
+    }
     co_return co_await exchange.answer(std::move(head), std::move(document.bytes));
 }
 
+std::optional<store_report> read_store_report(const message_head& head)
+{
+    const auto age = read_milliseconds(head.field(response_age_field));
+    const auto responding = read_milliseconds(head.field(responding_field));
+    return age && responding ? std::optional(store_report{*age, *responding})
+                             : std::nullopt;
+}
+
 result<std::string> decode_transfer(const message_head& head, std::string body,
                                     std::string_view base, std::size_t max_bytes)
 {
--- a/src/gateway/document_transfer.hpp
+++ b/src/gateway/document_transfer.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include <agateseam/error.hpp>
+#include <agateseam/store_availability.hpp>
 #include <transport/caller_connection.hpp>
 
 namespace agateseam
@@ -19,6 +20,8 @@
     std::string bytes;
     bool is_compressed = false;  ///< By `compress_document`.
     std::uint64_t base_hash = 0; ///< Of the text it was compressed against; 0: none.
+    /// What the sender knows of the platform's store, if that is its source.
+    std::optional<store_report> store;
 };
 
 /// \brief Returns the query parameter by which a receiver says that it takes compressed
@@ -43,6 +46,10 @@
 /// \brief Answers with a document.
 task<bool> answer_transfer(caller_exchange& exchange, transferred_document document);
 
+/// \brief Returns what the sender of an answer reports of the platform's store; no value
+/// if it reports nothing.
+[[nodiscard]] std::optional<store_report> read_store_report(const message_head& head);
+
 /// \brief Restores the document of an answer.
 /// \param base the text that the request named.
 /// \returns `invalid` when the answer was compressed against another text, or is damaged.
--- a/tests/site/relay_test.py
+++ b/tests/site/relay_test.py
@@ -105,6 +105,52 @@
         check(len(leaving.runs) == runs_before)
 
 
+def kill_watchers(site):
+    """Kills all entries that watch the store; returns the numbers of the others."""
+    lost = watchers_of(site)
+    for entry in lost:
+        entry.end()
+    for entry in lost:
+        entry.process.wait()
+    return [number for number, entry in enumerate(site.entries) if entry not in lost]
+
+
+def test_servers_that_are_removed_as_relays_die_are_not_kept(build, directory):
+    """Guards against followers that take dead relays for an outage of the store: the server's
+    record might have lapsed in it, so it would get work for 1.8 s more."""
+    with start_fleet(build, directory) as site:
+        remaining = kill_watchers(site)
+        removed = site.replicas_of("plain")[0]
+        removed_at = time.monotonic()
+        site.run_on_loop(site.store.remove, "servers", removed.id)
+        for number in remaining:
+            wait_for(lambda number=number: site.entries[number].log_lines("backend server gone"),
+                     "the removal to be known")
+        time.sleep(max(0, removed_at + 2 - time.monotonic()))
+        runs_before = len(removed.runs)
+        for number in remaining * 4:
+            check(site.get("/safe/a", entry=number).status == 200)
+        check(len(removed.runs) == runs_before, len(removed.runs) - runs_before)
+        for number in remaining:
+            silences = site.entries[number].log_lines("store silence began")
+            check(not silences, silences)
+
+
+def test_servers_that_lapse_in_an_outage_are_kept_by_followers(build, directory):
+    """Guards against followers that call the store only when a short outage is over, and so take
+    the records that lapsed in it for removed."""
+    with start_fleet(build, directory) as site:
+        site.store.mode = "busy"
+        site.run_on_loop(site.store.wake_watches)
+        time.sleep(1.5)
+        for replica in site.replicas_of("plain"):
+            site.run_on_loop(site.store.remove, "servers", replica.id)
+        site.store.mode = "up"
+        returned_at = time.monotonic()
+        while time.monotonic() < returned_at + 1.2:
+            check(all(site.get("/safe/a", entry=number).status == 200 for number in range(FLEET)))
+
+
 def test_the_loss_of_all_watchers_is_noticed_in_time(build, directory):
     """Guards against followers that go on without news. Two seconds is the shortest time in which
     the platform asks for a change to be in force."""
--- a/tests/unit/store_session_test.cpp
+++ b/tests/unit/store_session_test.cpp
@@ -31,11 +31,24 @@
     [[nodiscard]] store_watch_plan plan_watch() const override { return {}; }
 };
 
-/// A session whose followers wait to call the store again.
+/// A session that could not call the store, whose followers wait to call it again.
 class failing_session
 {
   public:
-    failing_session() { this->session.record_relay(false); }
+    failing_session()
+    {
+        spawn(this->loop,
+              [this]() -> task<void>
+              {
+                  co_await this->session.call(this->client, "GET", "/", nullptr, 1s);
+                  this->has_failed = true;
+              });
+        while (!this->has_failed)
+        {
+            this->loop.poll();
+        }
+        this->loop.restart();
+    }
 
     /// Starts as many waits as follow from `failures` and `count` failed calls. Only the
     /// last ones are counted, which are the longest.
@@ -53,12 +66,12 @@
         this->loop.poll();
     }
 
-    /// Records an answer of the store.
+    /// Records the report of a relay to which the store has just begun to respond.
     /// \returns the number of waits that it ends.
     int answer()
     {
         const int before = this->retries;
-        this->session.record_relay(true);
+        this->session.record_relay_report({}, "127.0.0.1:2", boot_now());
         this->loop.poll();
         return this->retries - before;
     }
@@ -67,6 +80,8 @@
     event_loop loop;
     silent_listener listener;
     store_session session{this->loop, "127.0.0.1:1", this->listener, 1};
+    store_client client{this->loop, "127.0.0.1:1"};
+    bool has_failed = false;
     int retries = 0;
 };
 
