--- a/src/gateway/backend_dialect.hpp
+++ b/src/gateway/backend_dialect.hpp
@@ -53,6 +53,7 @@
     engine_step step = engine_step::whole;
     std::string kv_source;   ///< "IP:port/handle" of the KV cache to fetch; may be empty.
     std::string reservation; ///< Name of the decode reservation; may be empty.
+    /// The stream resumes after it; without one, after the event that the caller names.
     std::optional<std::int64_t> last_event_number;
 };
 
