Don't begin a broken stream anew if its events have no numbers

Callers saw: a resumable stream without event ids that broke off after two events went on with its first event, all in one answer.

Cause: a repeat names the last event that was relayed; without any number it named none.

Change: a stream that has begun goes on elsewhere, after a break or a silence, only if the number of an event is known. Otherwise its answer is cut, which its caller sees.

Measured: resumed_stream_test, test_a_stream_without_event_ids_does_not_begin_anew: events 1, 2, 1, 2, 3, 4, 5, 6 before; 1, 2 and a cut answer now.

--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -190,10 +190,14 @@
         }
     }
 
-    /// Tells whether a server may go on with the stream, if it has begun.
+    /// Tells whether a server may go on with the stream, if it has begun. One whose
+    /// events have no numbers would begin anew.
     [[nodiscard]] bool may_go_on() const
     {
-        return !this->is_version_unknown && this->place_search.has_server_of_version();
+        const bool has_position =
+            !this->first_event_at || this->events.last_event_number();
+        return has_position && !this->is_version_unknown &&
+               this->place_search.has_server_of_version();
     }
 
     /// Notes that a server is listed as another start of it, so that the version of its
--- a/tests/site/resumed_stream_test.py
+++ b/tests/site/resumed_stream_test.py
@@ -110,5 +110,14 @@
               numbers_in(answer))
 
 
+def test_a_stream_without_event_ids_does_not_begin_anew(build, directory):
+    """Guards against a repeat that can't name the last event, and so sends all of them again."""
+    streams = Streams(breaks=1, has_ids=False)
+    with start_streams(build, directory, streams) as site:
+        answer = site.request_stream("/resume/a")
+        check(numbers_in(answer) == [1, 2] and not answer.complete, answer.complete,
+              numbers_in(answer))
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
