Pass Last-Event-Id on to services in the daemon

Callers saw: the daemon's services never got the Last-Event-Id of a call, so a stream that was taken up began anew. With an Idempotency-Key, the caller got the whole recorded answer.

Cause: the entry and the agent pass on Content-Type and the key only; the hash that tells calls with one key apart left the field out.

Change: both pass the field on, in each attempt; a call that resumes isn't the one whose outcome was recorded, so with the same key it gets 422, not run. Hashes of other calls are as before.

Backend of odd_answer_test records the heads that it gets and may be closed, for the new test.

--- a/src/daemon/service_attempt.cpp
+++ b/src/daemon/service_attempt.cpp
@@ -1,7 +1,11 @@
 #include <daemon/agent_context.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 #include <daemon/api_error.hpp>
 #include <daemon/attempt_meter.hpp>
+#include <daemon/service_headers.hpp>
 
 namespace agateseam
 {
@@ -42,11 +46,8 @@
         call.total_timeout = this->order.deadline;
         call.fresh_connection = !this->order.repeatable;
         call.headers = {{"x-request-id", this->order.id.request}};
-        const std::string_view type = this->exchange->request().header("Content-Type");
-        if (!type.empty())
-        {
-            call.headers.emplace_back("Content-Type", type);
-        }
+        std::ranges::move(service_headers(this->exchange->request()),
+                          std::back_inserter(call.headers));
         if (!this->order.idempotency_key.empty())
         {
             call.headers.emplace_back("Idempotency-Key", this->order.idempotency_key);
--- a/src/daemon/service_request.cpp
+++ b/src/daemon/service_request.cpp
@@ -1,7 +1,11 @@
 #include <daemon/entry_context.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 #include <daemon/api_error.hpp>
 #include <daemon/claim_answer.hpp>
+#include <daemon/service_headers.hpp>
 
 namespace agateseam
 {
@@ -105,6 +109,19 @@
         return request.query.empty() ? request.path : request.path + "?" + request.query;
     }
 
+    /// A call that resumes a stream isn't the one that began it, whose recorded answer
+    /// has events that the caller got before.
+    [[nodiscard]] std::string fingerprint() const
+    {
+        const http_request& request = this->exchange->request();
+        const std::string_view last_event = request.header(last_event_header);
+        return make_call_fingerprint(request.method,
+                                     last_event.empty()
+                                         ? this->target()
+                                         : this->target() + "#" + std::string(last_event),
+                                     this->body);
+    }
+
     /// Claims the caller's idempotency key. The call is sent only after the claim is
     /// granted.
     void claim()
@@ -115,8 +132,7 @@
         this->pending_claim.id =
             make_claim_id(this->workspace, this->route_name, this->idempotency_key);
         this->pending_claim.owner = this->id;
-        this->pending_claim.fingerprint = make_call_fingerprint(
-            this->exchange->request().method, this->target(), this->body);
+        this->pending_claim.fingerprint = this->fingerprint();
         this->claimed_at = this->context->time.now();
         this->pending_claim.now = this->context->time.wall_now();
         this->pending_claim.deadline = this->pending_claim.now + run_limit + claim_margin;
@@ -212,11 +228,7 @@
             {std::string(headers::fleet), this->context->settings.fleet_secret},
             {std::string(headers::attempt), to_text(to_agent)},
             this->context->telemetry->stamp_header()};
-        const std::string_view type = request.header("Content-Type");
-        if (!type.empty())
-        {
-            call.headers.emplace_back("Content-Type", type);
-        }
+        std::ranges::move(service_headers(request), std::back_inserter(call.headers));
         call.body = this->body;
         this->context->client->fetch_async(
             std::move(call), [self = this->shared_from_this()](result<http_reply> reply)
--- a/tests/process/odd_answer_test.py
+++ b/tests/process/odd_answer_test.py
@@ -57,14 +57,17 @@
     for each request that runs something; all others are passed on."""
 
     def __init__(self, target_port):
-        self.target_port, self.answer, self.hits = target_port, None, 0
+        self.target_port, self.answer, self.hits, self.heads = target_port, None, 0, []
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept_connections, daemon=True).start()
 
     def accept_connections(self):
         while True:
-            connection = self.listener.accept()[0]
+            try:
+                connection = self.listener.accept()[0]
+            except OSError:
+                return  # The listener was closed.
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
     def serve(self, connection):
@@ -82,6 +85,7 @@
                 return
             received += part
         head, body = received.split(b"\r\n\r\n", 1)
+        self.heads.append(head.decode("latin-1"))
         method, path = head.split(b" ", 2)[:2]
         runs = path not in (b"/healthz", b"/requests", b"/abort", b"/orders") and method == b"POST"
         if runs and self.answer is not None:
