--- a/tests/process/odd_answer_test.py
+++ b/tests/process/odd_answer_test.py
@@ -139,6 +139,11 @@
     def look(self):
         return self.post("/orders/a", b"{}")
 
+    def chat(self):
+        return self.post("/v1/chat/completions", json.dumps(
+            {"model": "drafter", "messages": [{"role": "user", "content": "p"}],
+             "max_tokens": 3, "stream": True}))
+
     def complete(self, stream, size=1):
         return self.post("/v1/completions", json.dumps(
             {"model": "drafter", "prompt": "p" * size, "max_tokens": 3, "stream": stream}))
@@ -167,19 +172,29 @@
 
 
 def test_an_answer_that_is_not_valid_http_reaches_no_caller(fleet):
+    check_odd_answers(fleet, b"")
+
+
+def test_an_odd_answer_behind_an_interim_one_reaches_no_caller(fleet):
+    check_odd_answers(fleet, b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+
+
+def check_odd_answers(fleet, interim):
     wrong = []
     for names, body, calls in (
             ("service", b"odd", {"book": fleet.book, "look": fleet.look}),
             ("decode", STREAM, {"stream": lambda: fleet.complete(True),
-                                "whole": lambda: fleet.complete(False)}),
+                                "whole": lambda: fleet.complete(False),
+                                "chat": fleet.chat}),
             ("prefill", JSON, {"prefill": lambda: fleet.complete(True)})):
         for answer in odd_heads(body):
+            answer = interim + answer
             fleet.set_answer((names,), lambda connection, sent=answer: connection.sendall(sent))
             for name, call in calls.items():
                 outcome = call()
                 denies_run = name == "book" and outcome[1].get("x-agateseam-run") != "unknown"
                 if not is_failure(outcome) or b"odd" in outcome[2] or denies_run:
-                    wrong.append((name, answer[:60], outcome[0], outcome[2][:60]))
+                    wrong.append((name, answer[:100], outcome[0], outcome[2][:60]))
         hits = sum(backend.hits for backend in fleet.backends.values())
         check(hits > 0)
         fleet.check_serves(f"odd answers of {names}")
@@ -241,6 +256,7 @@
 
 
 TESTS = [test_an_answer_that_is_not_valid_http_reaches_no_caller,
+         test_an_odd_answer_behind_an_interim_one_reaches_no_caller,
          test_an_early_answer_to_an_upload_that_breaks_off_is_none,
          test_bytes_without_end_are_not_kept]
 
