--- a/tests/unit/store_session_test.cpp
+++ b/tests/unit/store_session_test.cpp
@@ -1,7 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <string>
 #include <thread>
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include <platform/store_session.hpp>
 
 using namespace agateseam;
@@ -35,12 +38,15 @@
 class failing_session
 {
   public:
-    failing_session()
+    /// \param store_address "IP:port" of a store that doesn't respond.
+    /// \param timeout of the call.
+    explicit failing_session(std::string store_address, duration timeout = 1s)
+        : address(std::move(store_address))
     {
         spawn(this->loop,
-              [this]() -> task<void>
+              [this, timeout]() -> task<void>
               {
-                  co_await this->session.call(this->client, "GET", "/", nullptr, 1s);
+                  co_await this->session.call(this->client, "GET", "/", nullptr, timeout);
                   this->has_failed = true;
               });
         while (!this->has_failed)
@@ -77,19 +83,55 @@
     }
 
   private:
+    std::string address;
     event_loop loop;
     silent_listener listener;
-    store_session session{this->loop, "127.0.0.1:1", this->listener, 1};
-    store_client client{this->loop, "127.0.0.1:1"};
+    store_session session{this->loop, this->address, this->listener, 1};
+    store_client client{this->loop, this->address};
     bool has_failed = false;
     int retries = 0;
 };
 
+constexpr const char* closed_port = "127.0.0.1:1";
+
+/// A store that accepts connections and never responds.
+class silent_store
+{
+  public:
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+  private:
+    event_loop loop;
+    boost::asio::ip::tcp::acceptor acceptor{this->loop,
+                                            {boost::asio::ip::address_v4::loopback(), 0}};
+};
+
 } // namespace
 
 TEST_CASE("the end of an outage ends all waits before a retry")
 {
-    failing_session failing;
+    failing_session failing(closed_port);
+    std::this_thread::sleep_for(store_availability::min_outage_time);
+    failing.add_followers(5, 6);
+    CHECK(failing.answer() == 6);
+}
+
+TEST_CASE("a call that had little time and got no response begins no outage")
+{
+    const silent_store store;
+    failing_session failing(store.address(), 50ms);
+    std::this_thread::sleep_for(store_availability::min_outage_time);
+    failing.add_followers(5, 6);
+    CHECK(failing.answer() == 0);
+}
+
+TEST_CASE("a call that had enough time and got no response begins an outage")
+{
+    const silent_store store;
+    failing_session failing(store.address(), store_availability::min_outage_time);
     std::this_thread::sleep_for(store_availability::min_outage_time);
     failing.add_followers(5, 6);
     CHECK(failing.answer() == 6);
@@ -97,7 +139,7 @@
 
 TEST_CASE("an answer after a short failure ends no wait before a retry")
 {
-    failing_session failing;
+    failing_session failing(closed_port);
     failing.add_followers(5, 6);
     CHECK(failing.answer() == 0);
 }
