--- a/tests/site/odd_path_test.py
+++ b/tests/site/odd_path_test.py
@@ -13,7 +13,7 @@
 from path_test import check, start_site  # noqa: E402
 from platform_site import EVENT, Site, configuration, reset_connection, send_request  # noqa: E402
 
-EVENT_COUNT = 4
+PREFILL_REPLY = b'{"kv_handle":"early","tokens":500,"version":1}'
 
 
 def is_run(request):
@@ -30,12 +30,13 @@
 
 def odd_from_second(kind, interim=b""):
     """Makes replicas whose kept connections bring a sound answer and then an odd one."""
-    served = set()  # Connections that brought a sound answer, or that ended.
+    served = set()  # Connections that have brought a sound answer.
 
     async def handle(replica, request, _reader, writer):
-        if not is_run(request) or writer not in served:
-            if is_run(request):
-                served.add(writer)
+        if not is_run(request):
+            return None
+        if writer not in served:
+            served.add(writer)
             return None
         replica.runs.append(request.id)
         writer.write(interim + odd_head(replica, request, kind) + BODY)
@@ -96,19 +97,13 @@
             check(b"odd" not in answer.body, kind, answer.body)
 
 
-class EarlyPrefill(EarlyReplica):
-    """Answers a prefill before it has read the prompt, and resets the connection."""
-
-    body = b'{"kv_handle":"early","tokens":500,"version":1}'
-
-
 def test_an_early_answer_to_a_prefill_that_breaks_off_is_none(build, directory):
     """Guards against a handle of an answer whose end nobody knows."""
     limits = dict(configuration(1)["limits"], max_body_bytes=16 << 20)
     with Site(build, directory) as site:
         decode = site.add_replica("model", stage="decode")
         early = add_early_replica(site, "model", "prefill")
-        early.body = EarlyPrefill.body
+        early.body = PREFILL_REPLY
         site.configure(1, limits=limits)
         site.start()
         for size in (100, 64 << 10, 8 << 20):
