--- a/tests/site/odd_answer_test.py
+++ b/tests/site/odd_answer_test.py
@@ -159,20 +159,30 @@
 def test_an_early_answer_to_an_upload_that_breaks_off_is_incomplete(build, directory):
     """Guards against a part of an answer without a length that passes for whole because the
     connection was reset while the request was still being written."""
-    limits = dict(configuration(1)["limits"], max_body_bytes=16 << 20)
+    for _, site in early_sites(build, directory, (("plain", None), ("model", "decode"))):
+        for size in UPLOAD_SIZES:
+            for path, headers in UPLOADS.items():
+                send_until_run(site, path, size, headers)
+
+
+UPLOAD_SIZES = (100, 64 << 10, 8 << 20)
+UPLOAD_LIMITS = dict(configuration(1)["limits"], max_body_bytes=16 << 20)
+
+
+def early_sites(build, directory, stages):
+    """Yields sites whose replicas, one for each service and stage, answer early, by how these tell
+    the length of their answers."""
     for name, fields in (("no-length", ()), ("chunks", ("Transfer-Encoding: chunked",)),
                          ("length", (f"Content-Length: {len(EarlyReplica.body) + 1}",))):
         with Site(build, os.path.join(directory, name)) as site:
-            for service, stage in (("plain", None), ("model", "decode")):
+            for service, stage in stages:
                 replica = add_early_replica(site, service, stage)
                 replica.answer_fields = fields
                 if name == "chunks":
                     replica.body = b"%x\r\n%s\r\n" % (len(EarlyReplica.body), EarlyReplica.body)
-            site.configure(1, limits=limits)
+            site.configure(1, limits=UPLOAD_LIMITS)
             site.start()
-            for size in (100, 64 << 10, 8 << 20):
-                for path, headers in UPLOADS.items():
-                    send_until_run(site, path, size, headers)
+            yield name, site
 
 
 UPLOADS = {"/once/a": {}, "/safe/a": {},
--- a/tests/site/odd_path_test.py
+++ b/tests/site/odd_path_test.py
@@ -9,9 +9,10 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import run  # noqa: E402
 from odd_answer_test import (  # noqa: E402
-    BODY, CALLS, FAILURES, LENGTH, ODD_HEADS, EarlyReplica, add_early_replica)
+    BODY, CALLS, FAILURES, LENGTH, ODD_HEADS, UPLOAD_LIMITS, UPLOAD_SIZES, add_early_replica,
+    early_sites)
 from path_test import check, start_site  # noqa: E402
-from platform_site import EVENT, Site, configuration, reset_connection, send_request  # noqa: E402
+from platform_site import EVENT, Site, reset_connection, send_request  # noqa: E402
 
 PREFILL_REPLY = b'{"kv_handle":"early","tokens":500,"version":1}'
 
@@ -99,14 +100,13 @@
 
 def test_an_early_answer_to_a_prefill_that_breaks_off_is_none(build, directory):
     """Guards against a handle of an answer whose end nobody knows."""
-    limits = dict(configuration(1)["limits"], max_body_bytes=16 << 20)
     with Site(build, directory) as site:
         decode = site.add_replica("model", stage="decode")
         early = add_early_replica(site, "model", "prefill")
         early.body = PREFILL_REPLY
-        site.configure(1, limits=limits)
+        site.configure(1, limits=UPLOAD_LIMITS)
         site.start()
-        for size in (100, 64 << 10, 8 << 20):
+        for size in UPLOAD_SIZES:
             for path in ("/draft/a", "/resume/a"):
                 answer = site.post(path, b"u" * size, Agateseam_Model="m",
                                    Agateseam_Token_Count="500,40")
@@ -117,23 +117,13 @@
 
 
 def test_an_early_answer_to_a_resumable_upload_that_breaks_off_is_incomplete(build, directory):
-    limits = dict(configuration(1)["limits"], max_body_bytes=16 << 20)
-    for name, fields in (("no-length", ()), ("chunks", ("Transfer-Encoding: chunked",)),
-                         ("length", (f"Content-Length: {len(EarlyReplica.body) + 1}",))):
-        with Site(build, os.path.join(directory, name)) as site:
-            for _ in range(2):
-                replica = add_early_replica(site, "model", "decode")
-                replica.answer_fields = fields
-                if name == "chunks":
-                    replica.body = b"%x\r\n%s\r\n" % (len(EarlyReplica.body), EarlyReplica.body)
-            site.configure(1, limits=limits)
-            site.start()
-            for size in (100, 64 << 10, 8 << 20):
-                for tokens in ({"Agateseam_Token_Count": "500,40"}, {}):
-                    answer = site.post("/resume/a", b"u" * size, Agateseam_Model="m", **tokens)
-                    check(answer.status in FAILURES or not answer.complete, name, size, tokens,
-                          answer.status, answer.body)
-            check(sum(len(replica.runs) for replica in site.replicas) > 0)
+    for name, site in early_sites(build, directory, (("model", "decode"),) * 2):
+        for size in UPLOAD_SIZES:
+            for tokens in ({"Agateseam_Token_Count": "500,40"}, {}):
+                answer = site.post("/resume/a", b"u" * size, Agateseam_Model="m", **tokens)
+                check(answer.status in FAILURES or not answer.complete, name, size, tokens,
+                      answer.status, answer.body)
+        check(sum(len(replica.runs) for replica in site.replicas) > 0)
 
 
 def break_answer_to_head(fields):
