Tell a silent server from a broken stream, and say what repeats are denied for

The record can't tell whether the server had broken the stream off or the entry had left it as silent: both were logged as 'stream broke', 'upstream'. Nor does it say what a repeat was denied for, and a prefill that wasn't sent for want of one had no line.

'stream silent' names the silence, the last event and the server that is asked to go on; 'stream broke' has the reason 'silent' then. 'repeat denied' has the step, the sends that count and the repeats taken, also for prefills; agateseam_repeats_denied_total counts. No decision changes.

--- a/include/agateseam/request_arrivals.hpp
+++ b/include/agateseam/request_arrivals.hpp
@@ -25,6 +25,12 @@
     /// \brief Tells whether anything was sent that counts.
     [[nodiscard]] bool any() const noexcept { return this->counted > 0; }
 
+    /// \brief Returns how many arrivals count.
+    [[nodiscard]] std::uint32_t count() const noexcept { return this->counted; }
+
+    /// \brief Returns how many repeats were taken and not returned.
+    [[nodiscard]] std::uint32_t repeats_taken() const noexcept { return this->repeats; }
+
     /// \brief Records a repeat that was taken from the budget.
     void add_repeat() noexcept { ++this->repeats; }
 
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -509,7 +509,7 @@
             record_observation(*this->state, place.chosen_server().id,
                                server_observation::unreachable, 0ms);
             log_failure(*this->scope, "stream broke", place.chosen_server().id,
-                        "upstream");
+                        this->replacement ? "silent" : "upstream");
             co_return this->decide_after(attempt_outcome::lost);
         }
         this->scope->outcome =
@@ -663,9 +663,23 @@
         }
         this->has_reserved_repeat = true;
         this->replacement = std::move(reserved);
+        this->log_silence(place);
         co_return true;
     }
 
+    void log_silence(const decode_place& place) const
+    {
+        log_line(
+            log_level::info, "stream silent",
+            {{"request", this->scope->metadata.id},
+             {"server", place.chosen_server().id},
+             {"replacement", this->replacement->chosen_server().id},
+             {"last_event", this->last_event_number.value_or(0)},
+             {"silent_ms", this->last_event_at == time_point{}
+                               ? std::int64_t{0}
+                               : whole_milliseconds(boot_now() - this->last_event_at)}});
+    }
+
     /// Decides how the request goes on after an attempt without a complete answer.
     [[nodiscard]] retry_decision decide_after(attempt_outcome end)
     {
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -142,16 +142,7 @@
 
 bool request_scope::may_arrive()
 {
-    if (this->arrivals.is_covered())
-    {
-        return true;
-    }
-    if (!this->reserve_repeat())
-    {
-        log_failure(*this, "repeat denied", this->server, "no repeat left");
-        return false;
-    }
-    return true;
+    return this->arrivals.is_covered() || this->reserve_repeat();
 }
 
 bool request_scope::reserve_repeat()
@@ -160,8 +151,17 @@
     if (is_taken)
     {
         this->arrivals.add_repeat();
+        return true;
     }
-    return is_taken;
+    this->state->counters.add("agateseam_repeats_denied_total");
+    log_line(log_level::info, "repeat denied",
+             {{"request", this->metadata.id},
+              {"server", this->server},
+              {"reason", "no repeat left"},
+              {"step", this->step},
+              {"arrivals", std::int64_t{this->arrivals.count()}},
+              {"repeats_taken", std::int64_t{this->arrivals.repeats_taken()}}});
+    return false;
 }
 
 void request_scope::return_unused_repeat()
