Keep a silent server until another one has gone on with its stream

Cause: a resumable stream without bytes for four gap targets was closed as soon as a place and a repeat were reserved for its rest. A place is no answer: the request may still be refused, fail, break or stay silent there, and then nothing was left but a further repeat. When that was denied, the stream was cut. The class: an answer that can still come is given up for the prospect of another one.

Change: the connection to the silent server is kept, and watched, until the other one has sent an event behind the caller's last or has completed the stream, or has accepted the request 250 ms ago, so that not both work on it. If the silent one goes on first, the other one is closed; if the other one's attempt ends in any way, the request goes on where it was. Events of one server only are passed on; a repeat that wasn't used returns to the budget. Limits of attempts and runs are as before: a silent server that is gone back to may be replaced again within them.

--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -26,6 +26,11 @@
 constexpr int max_gap_target_factor = 4;
 /// A place for the rest of a silent stream is looked for at this interval.
 constexpr auto silence_poll_interval = 100ms;
+/// The silent server is looked at this often while another one is asked to go on.
+constexpr auto silent_server_poll_interval = 25ms;
+/// A silent server is left when another one has accepted its stream for this long, so
+/// that not both work on it.
+constexpr auto max_server_overlap = 250ms;
 /// Maximum attempts to place and start one request. Once the request has been sent, each
 /// further attempt also uses the repeat budget.
 constexpr std::uint32_t max_start_attempts = 3;
@@ -42,11 +47,22 @@
 enum class stream_end
 {
     complete,
-    broken, ///< The connection broke, or the server was silent for too long.
+    broken,
+    silent, ///< The server is silent, and another one has a place for the rest.
     caller_gone,
     timed_out ///< The request's deadline passed.
 };
 
+/// A stream whose server is silent. It may go on until another server has gone on with
+/// it.
+struct silent_stream
+{
+    std::unique_ptr<decode_place> place;
+    std::shared_ptr<upstream_connection> link;
+    sse_event_splitter events; ///< With the beginning of its next event.
+    std::optional<time_point> first_event_at;
+};
+
 class model_call
 {
   public:
@@ -58,6 +74,7 @@
         , place_search(request)
         , prefiller(request)
         , stream(request.metadata.id)
+        , silence_timer(*request.state->loop)
     {
         this->last_event_number = request.metadata.last_event_number;
     }
@@ -94,9 +111,13 @@
             co_await this->send_unavailable("no_server_large_enough", duration(1s));
             co_return;
         }
-        for (std::uint32_t attempt = 0; attempt < max_start_attempts;)
+        while (this->starts < max_start_attempts)
         {
-            const retry_decision decision = co_await this->start_attempt();
+            retry_decision decision = co_await this->start_attempt();
+            if (this->silent && !this->replacement)
+            {
+                decision = co_await this->go_on_at_silent_server();
+            }
             if (decision != retry_decision::try_another)
             {
                 this->release_kv_cache(std::exchange(this->unused_kv_source, ""));
@@ -107,7 +128,6 @@
                 co_await this->finish(decision);
                 co_return;
             }
-            attempt += std::exchange(this->is_withheld, false) ? 0 : 1;
         }
         co_await this->finish(this->report_without_attempt());
     }
@@ -117,6 +137,11 @@
     {
         return this->scope->exchange->disconnected();
     }
+    /// Tells whether nobody needs the attempt that is being made any more.
+    [[nodiscard]] bool is_superseded() const
+    {
+        return this->is_caller_gone() || this->has_silence_ended;
+    }
     [[nodiscard]] duration time_remaining() const
     {
         return this->scope->deadline - boot_now();
@@ -213,6 +238,7 @@
     /// Reserves decode memory, has the prompt prefilled and relays the stream.
     task<retry_decision> start_attempt()
     {
+        ++this->starts;
         this->scope->step = "decode place";
         auto place = std::move(this->replacement);
         if (!place)
@@ -237,7 +263,7 @@
             kv_source =
                 co_await this->prefiller.run(this->last_event_number, this->version);
         }
-        if (this->is_caller_gone())
+        if (this->is_superseded())
         {
             this->place_search.release(*place);
             this->release_kv_cache(kv_source);
@@ -251,7 +277,7 @@
             this->release_kv_cache(kv_source);
             co_return this->report_without_attempt();
         }
-        co_return co_await this->send_decode(*place, kv_source);
+        co_return co_await this->send_decode(std::move(place), kv_source);
     }
 
     /// Has the prefill server drop the KV cache of the prompt.
@@ -278,31 +304,31 @@
         this->place_search.record_lost_place(place.chosen_server());
         this->place_search.release(place);
         this->unused_kv_source = kv_source;
-        this->is_withheld = true;
+        --this->starts;
         return retry_decision::try_another;
     }
 
     /// Sends the request to its decode server and relays the answer.
-    task<retry_decision> send_decode(decode_place& place, const std::string& kv_source)
+    task<retry_decision> send_decode(std::unique_ptr<decode_place> place,
+                                     const std::string& kv_source)
     {
-        if (!this->state->accepts_work(place.chosen_server()))
+        if (!this->state->accepts_work(place->chosen_server()))
         {
-            co_return this->withhold(place, kv_source);
+            co_return this->withhold(*place, kv_source);
         }
-        this->has_reserved_repeat = false;
         if (!this->scope->may_arrive())
         {
-            this->place_search.release(place);
+            this->place_search.release(*place);
             this->release_kv_cache(kv_source);
             co_return this->report_without_attempt();
         }
-        const std::string& address = place.chosen_server().address;
+        const std::string& address = place->chosen_server().address;
         auto link = this->state->pool.take(address, this->scope->metadata.id);
         if (!link)
         {
             link = co_await this->state->pool.open(address);
         }
-        if (!link || this->is_caller_gone())
+        if (!link || this->is_superseded())
         {
             if (link)
             {
@@ -310,10 +336,10 @@
             }
             else
             {
-                record_observation(*this->state, place.chosen_server().id,
+                record_observation(*this->state, place->chosen_server().id,
                                    server_observation::unreachable, 0ms);
             }
-            this->place_search.release(place);
+            this->place_search.release(*place);
             this->release_kv_cache(kv_source);
             co_return this->is_caller_gone() ? retry_decision::relay
                                              : retry_decision::try_another;
@@ -322,43 +348,45 @@
             this->scope->part_block_in_force() != nullptr)
         {
             this->state->pool.return_connection(link);
-            this->place_search.release(place);
+            this->place_search.release(*place);
             this->release_kv_cache(kv_source);
             co_return this->report_without_attempt();
         }
-        if (!this->place_search.begin_send(place))
+        if (!this->place_search.begin_send(*place))
         {
             this->state->pool.return_connection(link);
-            co_return this->withhold(place, kv_source);
+            co_return this->withhold(*place, kv_source);
         }
         caller_exchange& exchange = *this->scope->exchange;
         if (!exchange.begin_send())
         {
             this->state->pool.return_connection(link);
-            this->place_search.release(place);
+            this->place_search.release(*place);
             this->release_kv_cache(kv_source);
             co_return retry_decision::relay;
         }
         exchange.on_disconnect([link] { link->abandon(); });
+        this->attempt_link = link;
         forward_options options;
-        options.server = &place.chosen_server();
+        options.server = &place->chosen_server();
         options.time_left = time_left(*this->scope);
         options.workspace = this->scope->workspace_name();
         options.step = engine_step::decode;
         options.kv_source = kv_source;
-        options.reservation = place.reservation;
+        options.reservation = place->reservation;
         options.last_event_number = this->last_event_number;
         this->scope->arrivals.record_run();
         ++this->scope->attempts;
         this->scope->is_trial = false;
-        place.has_send = false;
-        this->scope->server = place.chosen_server().id;
+        place->has_send = false;
+        this->scope->server = place->chosen_server().id;
         link->send(this->state->dialect->write_request(exchange.request(), options),
                    exchange.request().body);
-        co_return co_await this->relay(place, *link);
+        co_return co_await this->relay(std::move(place), *link);
     }
 
-    task<retry_decision> relay(decode_place& place, upstream_connection& link)
+    task<retry_decision> relay(std::unique_ptr<decode_place> place,
+                               upstream_connection& link)
     {
         const auto shared_link = link.shared_from_this();
         const auto& dialect = *this->state->dialect;
@@ -366,22 +394,23 @@
         this->scope->step = "first event";
         this->attempt_event_at.reset();
         const io_outcome end =
-            co_await read_reply_head(*this->state, place.chosen_server(), link,
+            co_await read_reply_head(*this->state, place->chosen_server(), link,
                                      this->scope->metadata.id, this->scope->deadline);
         if (end == io_outcome::broken)
         {
-            this->record_broken_connection(place.chosen_server());
+            this->record_broken_connection(place->chosen_server());
         }
-        if (this->is_caller_gone())
+        if (this->is_superseded())
         {
             link.close();
-            co_return retry_decision::relay;
+            co_return this->is_caller_gone() ? retry_decision::relay
+                                             : this->decide_after(attempt_outcome::lost);
         }
         if (end != io_outcome::good)
         {
-            record_observation(*this->state, place.chosen_server().id,
+            record_observation(*this->state, place->chosen_server().id,
                                server_observation::unreachable, boot_now() - started_at);
-            log_failure(*this->scope, "decode failed", place.chosen_server().id,
+            log_failure(*this->scope, "decode failed", place->chosen_server().id,
                         to_string(end));
             co_return this->decide_after(end == io_outcome::timed_out
                                              ? attempt_outcome::timed_out
@@ -392,11 +421,12 @@
         if (reply.not_run || head.status >= first_error_status || !reply.is_signed ||
             !this->may_continue_answer(head))
         {
-            co_return co_await this->relay_failure(place, link, head, reply);
+            co_return co_await this->relay_failure(*place, link, head, reply);
         }
-        record_observation(*this->state, place.chosen_server().id,
+        this->accepted_at = boot_now();
+        record_observation(*this->state, place->chosen_server().id,
                            server_observation::good, boot_now() - started_at);
-        co_return co_await this->relay_stream(place, link, head);
+        co_return co_await this->relay_stream(std::move(place), link, head);
     }
 
     /// Tells whether an answer's body may follow what the caller has got, if anything: an
@@ -413,7 +443,7 @@
     /// Records that a server ended the connection before the answer had begun.
     void record_broken_connection(const backend_server& server)
     {
-        if (this->is_caller_gone() || this->has_reserved_repeat || this->has_begun())
+        if (this->is_superseded() || this->has_begun())
         {
             return;
         }
@@ -478,8 +508,8 @@
         co_return retry_decision::relay;
     }
 
-    task<retry_decision> relay_stream(decode_place& place, upstream_connection& link,
-                                      const message_head& head)
+    task<retry_decision> relay_stream(std::unique_ptr<decode_place> place,
+                                      upstream_connection& link, const message_head& head)
     {
         caller_exchange& exchange = *this->scope->exchange;
         const auto shared_link = link.shared_from_this();
@@ -490,11 +520,12 @@
             co_await exchange.begin(make_relayed_head(head));
         }
         this->scope->step = "stream";
-        const stream_end end = co_await this->relay_events(place, link);
+        const stream_end end = co_await this->relay_events(*place, link);
         exchange.on_disconnect(nullptr);
         this->state->digest_due.notify();
         if (end == stream_end::complete)
         {
+            this->leave_silent_server();
             this->state->pool.return_connection(shared_link);
             this->record_answer();
             co_await exchange.finish();
@@ -502,14 +533,23 @@
             this->scope->outcome = "answered";
             co_return retry_decision::relay;
         }
+        if (end == stream_end::silent)
+        {
+            this->keep_silent_server(std::move(place), shared_link);
+            co_return retry_decision::try_another;
+        }
         link.close();
+        if (end == stream_end::broken && this->has_silence_ended)
+        {
+            co_return this->decide_after(attempt_outcome::lost);
+        }
         if (end == stream_end::broken)
         {
-            this->check_restart(place.chosen_server());
-            record_observation(*this->state, place.chosen_server().id,
+            this->check_restart(place->chosen_server());
+            record_observation(*this->state, place->chosen_server().id,
                                server_observation::unreachable, 0ms);
-            log_failure(*this->scope, "stream broke", place.chosen_server().id,
-                        this->replacement ? "silent" : "upstream");
+            log_failure(*this->scope, "stream broke", place->chosen_server().id,
+                        "upstream");
             co_return this->decide_after(attempt_outcome::lost);
         }
         this->scope->outcome =
@@ -526,8 +566,16 @@
         io_outcome end = io_outcome::good;
         for (;;)
         {
+            if (this->has_silence_ended)
+            {
+                co_return stream_end::broken;
+            }
             const std::string complete_events =
                 this->events.extract_complete_events(link.take_body());
+            if (!complete_events.empty())
+            {
+                this->leave_silent_server();
+            }
             link.set_kept_by_reader(this->events.partial_size());
             this->record_events(place, !complete_events.empty());
             if (this->events.partial_size() > max_event_bytes)
@@ -555,6 +603,10 @@
                 break;
             }
             end = co_await this->read_events(place, link);
+            if (this->replacement)
+            {
+                co_return stream_end::silent;
+            }
         }
         // Without a stated end, a connection that ends before any event broke off.
         if (this->events.is_at_event_boundary() &&
@@ -621,8 +673,8 @@
         }
     }
 
-    /// Reads the next bytes of the stream. A silent server is given up only when another
-    /// one has a place for the rest; until then, only this one can bring it.
+    /// Reads the next bytes of the stream. Returns early, with `replacement` set, when
+    /// the server is silent and another one has a place for the rest.
     task<io_outcome> read_events(const decode_place& place, upstream_connection& link)
     {
         const service_route& route = *this->scope->route;
@@ -635,7 +687,7 @@
         {
             if (co_await this->reserve_replacement(place))
             {
-                link.close();
+                co_return io_outcome::good;
             }
             wait = silence_poll_interval;
         }
@@ -645,7 +697,9 @@
     /// Reserves a place for the rest of a silent stream, and takes a repeat for it.
     task<bool> reserve_replacement(const decode_place& place)
     {
-        if (this->scope->possible_runs + 1 >= this->scope->route->max_attempts ||
+        this->check_restart(place.chosen_server());
+        if (this->silent || this->starts >= max_start_attempts ||
+            this->scope->possible_runs + 1 >= this->scope->route->max_attempts ||
             this->scope->part_block_in_force() != nullptr || !this->may_go_on() ||
             this->time_remaining() <= min_model_attempt_time)
         {
@@ -661,12 +715,120 @@
             this->place_search.release(*reserved);
             co_return false;
         }
-        this->has_reserved_repeat = true;
         this->replacement = std::move(reserved);
         this->log_silence(place);
         co_return true;
     }
 
+    /// Keeps the connection to a silent server while another one is asked to go on. That
+    /// one may refuse, and no repeat may be left for a third.
+    void keep_silent_server(std::unique_ptr<decode_place> place,
+                            std::shared_ptr<upstream_connection> link)
+    {
+        record_observation(*this->state, place->chosen_server().id,
+                           server_observation::unreachable, 0ms);
+        this->silent.emplace(silent_stream{std::move(place), std::move(link),
+                                           this->events, this->attempt_event_at});
+        ++this->scope->possible_runs;
+        this->events.resume();
+        this->accepted_at.reset();
+        this->attempt_link.reset();
+        this->watch_silent_server();
+    }
+
+    void watch_silent_server()
+    {
+        this->silence_timer.arm(silent_server_poll_interval,
+                                [this] { this->check_silent_server(); });
+    }
+
+    /// Ends the other server's attempt if the silent server goes on, and leaves the
+    /// silent server if it can't go on or the other one has had the stream for long
+    /// enough.
+    void check_silent_server()
+    {
+        if (!this->silent)
+        {
+            return;
+        }
+        upstream_connection& link = *this->silent->link;
+        if (this->is_caller_gone())
+        {
+            link.abandon();
+            return;
+        }
+        const unread_input input = link.peek();
+        // The end of the connection may also be that of the answer.
+        if (input == unread_input::bytes ||
+            (input == unread_input::end && !link.has_stated_end()))
+        {
+            this->has_silence_ended = true;
+            if (this->attempt_link)
+            {
+                this->attempt_link->close();
+            }
+            return;
+        }
+        const bool is_taken_over =
+            this->accepted_at && boot_now() - *this->accepted_at >= max_server_overlap;
+        if (input == unread_input::end || is_taken_over)
+        {
+            this->leave_silent_server();
+            return;
+        }
+        this->watch_silent_server();
+    }
+
+    void leave_silent_server()
+    {
+        if (!this->silent)
+        {
+            return;
+        }
+        this->silence_timer.disarm();
+        this->log_replacement("silent server left");
+        this->silent->link->abandon();
+        this->silent.reset();
+    }
+
+    /// Goes on with the stream of the silent server, because the other one has not.
+    task<retry_decision> go_on_at_silent_server()
+    {
+        this->silence_timer.disarm();
+        this->log_replacement("replacement ended");
+        this->release_kv_cache(std::exchange(this->unused_kv_source, ""));
+        this->scope->return_unused_repeat();
+        silent_stream kept = std::move(*this->silent);
+        this->silent.reset();
+        this->attempt_link.reset();
+        this->has_silence_ended = false;
+        const auto link = kept.link;
+        if (this->is_caller_gone())
+        {
+            link->abandon();
+            co_return retry_decision::relay;
+        }
+        --this->scope->possible_runs;
+        this->events = std::move(kept.events);
+        this->attempt_event_at = kept.first_event_at;
+        this->scope->server = kept.place->chosen_server().id;
+        this->scope->exchange->on_disconnect([link] { link->abandon(); });
+        co_return co_await this->relay_stream(std::move(kept.place), *link, link->head());
+    }
+
+    /// Logs the end of the attempt to replace the silent server.
+    void log_replacement(std::string_view event) const
+    {
+        const bool was_sent = this->attempt_link != nullptr;
+        log_line(log_level::info, event,
+                 {{"request", this->scope->metadata.id},
+                  {"server", this->silent->place->chosen_server().id},
+                  {"replacement",
+                   was_sent ? std::string_view(this->scope->server) : std::string_view{}},
+                  {"went_on", this->has_silence_ended},
+                  {"last_event", this->last_event_number.value_or(0)}});
+    }
+
     void log_silence(const decode_place& place) const
     {
         log_line(
@@ -794,13 +956,17 @@
     std::optional<name_key> version; ///< Of the servers that may go on with the stream.
     bool is_version_unknown = false; ///< The stream has begun at an unknown version.
     time_point announced_at{};
-    bool has_reserved_repeat = false; ///< Taken before a silent stream was ended.
+    std::uint32_t starts = 0;                  ///< Attempts begun, without withheld ones.
     std::unique_ptr<decode_place> replacement; ///< For the rest of a silent stream.
+    std::optional<silent_stream> silent; ///< While another server is asked to go on.
+    std::shared_ptr<upstream_connection> attempt_link; ///< Of the latest request sent.
+    std::optional<time_point> accepted_at; ///< By the server of `attempt_link`.
+    bool has_silence_ended = false;        ///< The silent server goes on.
+    deadline_timer silence_timer;
     std::uint32_t refusals = 0;
     /// "IP:port/handle" of the prefilled prompt of a withheld attempt; may be empty.
     std::string unused_kv_source;
     bool is_answer_recorded = false;
-    bool is_withheld = false; ///< The latest attempt sent nothing to its decode server.
     std::optional<time_point> first_event_at;
     std::optional<time_point> attempt_event_at; ///< First event of the present server.
     time_point last_event_at{};
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -480,17 +480,25 @@
            this->parser->keep_alive();
 }
 
-bool upstream_connection::alive()
+unread_input upstream_connection::peek()
 {
     if (this->closed)
     {
-        return false;
+        return unread_input::end;
+    }
+    if (this->has_parsable_input())
+    {
+        return unread_input::bytes;
     }
     char byte = 0;
     const auto count =
         ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    // Unexpected bytes, a close by the server and an error all make it unusable.
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (count > 0)
+    {
+        return unread_input::bytes;
+    }
+    const bool is_open = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return is_open ? unread_input::none : unread_input::end;
 }
 
 void upstream_connection::close()
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -34,6 +34,14 @@
     unknown ///< May be either of them.
 };
 
+/// What has arrived on a connection and isn't read yet.
+enum class unread_input : std::uint8_t
+{
+    none,
+    bytes,
+    end ///< The connection is closed, by either side, or broken.
+};
+
 /// \brief Returns the name of an outcome for logs.
 [[nodiscard]] std::string_view to_string(io_outcome end) noexcept;
 
@@ -108,8 +116,11 @@
         return now - this->idle_since >= this->idle_timeout;
     }
 
+    /// \brief Returns what the next read finds, without a wait.
+    [[nodiscard]] unread_input peek();
+
     /// \brief Tells whether an idle connection is open and has no unexpected bytes.
-    [[nodiscard]] bool alive();
+    [[nodiscard]] bool alive() { return this->peek() == unread_input::none; }
 
     /// \brief Closes the connection. A pending read ends as `broken`.
     void close();
--- a/tests/site/silent_stream_test.py
+++ b/tests/site/silent_stream_test.py
@@ -49,6 +49,7 @@
         done, waiting = await asyncio.wait({left, woken}, return_when=asyncio.FIRST_COMPLETED)
         for task in waiting:
             task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
         return left in done
 
     @staticmethod
