Await a slow answer until another server has answered

Cause: a slow attempt was ended as soon as another server could take the request and the budget granted a repeat. That server may refuse, fail, break, stay silent or be out of reach; then no other was left, or no repeat. The same class as the silent stream: an answer that can still come is given up for the prospect of another one.

Change: answers are read in the background, and the slow attempt goes on while another server is asked. The first whole answer is relayed and the other attempt ended. An attempt that brings none leaves the other one running; a repeat that wasn't sent returns to the budget. At most two run at once, within the limit of runs as before.

--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -22,14 +22,16 @@
 /// A server can't do anything useful in less time than this.
 constexpr auto min_attempt_time = 20ms;
 /// The first attempt of a repeatable request may take this fraction of the target latency
-/// before another server is asked. The rest is enough for the usual time of the work.
+/// before another server is asked, too. The rest is enough for the usual time of the
+/// work.
 constexpr double first_attempt_target_fraction = 0.6;
 /// The first attempt may take at least this many times the server's typical latency,
 /// which rises when all servers are slow.
 constexpr int first_attempt_latency_factor = 3;
-/// A slow attempt goes on until the budget has a repeat, which is checked at this
-/// interval.
+/// Whether a slow attempt may be repeated is checked at this interval.
 constexpr auto repeat_poll_interval = 40ms;
+/// An attempt's end wakes its call; this bounds a single wait.
+constexpr auto max_answer_wait = 10s;
 /// When every server is full, a request waits for at most this fraction of the target
 /// latency.
 constexpr double max_wait_target_fraction = 0.5;
@@ -57,12 +59,69 @@
     std::string body;
 };
 
+/// A request at a server, whose answer is read in the background. Its call may end before
+/// the answer has come.
+struct running_attempt
+{
+    std::shared_ptr<const backend_server> server;
+    std::shared_ptr<upstream_connection> link;
+    time_point started_at{};
+    std::optional<time_point> repeat_at; ///< When another server may be asked, too.
+    attempt_result outcome;
+    bool is_done = false;
+};
+
+/// Tells what kind of answer a whole answer is.
+attempt_outcome classify_answer(const entry_state& state, const message_head& head)
+{
+    constexpr int first_error = 400;
+    constexpr int first_server_error = 500;
+    const reply_metadata reply = state.dialect->read_reply(head);
+    if (reply.not_run)
+    {
+        return attempt_outcome::refused;
+    }
+    if (!reply.is_signed && head.status < first_error)
+    {
+        return attempt_outcome::lost;
+    }
+    const bool is_failure =
+        head.status >= first_server_error || status_implies_not_run(head.status);
+    return is_failure ? attempt_outcome::failed : attempt_outcome::answered;
+}
+
+/// Reads the whole answer of an attempt.
+task<void> read_answer(entry_state& state, std::shared_ptr<running_attempt> attempt,
+                       std::string request_id, time_point deadline)
+{
+    upstream_connection& link = *attempt->link;
+    attempt_result& outcome = attempt->outcome;
+    io_outcome end = co_await read_reply_head(state, *attempt->server, link,
+                                              std::move(request_id), deadline);
+    if (end == io_outcome::good)
+    {
+        outcome.head = link.head();
+        end = co_await link.read_whole(deadline, max_answer_size);
+    }
+    if (end != io_outcome::good)
+    {
+        link.close();
+        outcome.is_broken = end == io_outcome::broken;
+        outcome.end = end == io_outcome::timed_out ? attempt_outcome::timed_out
+                                                   : attempt_outcome::lost;
+        co_return;
+    }
+    outcome.body = link.take_body();
+    outcome.end = classify_answer(state, outcome.head);
+}
+
 class plain_call
 {
   public:
     explicit plain_call(request_scope& request)
         : scope(&request)
         , state(request.state)
+        , attempt_ended(std::make_shared<wake_signal>(*request.state->loop))
     {
     }
 
@@ -70,33 +129,61 @@
     {
         for (;;)
         {
-            this->scope->step = "server";
-            const auto server = co_await this->find_server();
-            if (const part_block* block = this->scope->part_block_in_force())
+            attempt_result outcome;
+            bool has_server = true;
+            if (!this->current)
             {
-                co_await send_local_answer(*this->scope,
-                                           make_blocked_answer(*this->scope, *block));
-                co_return;
+                this->scope->step = "server";
+                const auto server = co_await this->find_server();
+                const part_block* block = this->scope->part_block_in_force();
+                if (block != nullptr && !this->slow)
+                {
+                    co_await send_local_answer(*this->scope,
+                                               make_blocked_answer(*this->scope, *block));
+                    co_return;
+                }
+                has_server = server && block == nullptr;
+                if (has_server)
+                {
+                    outcome = co_await this->start_attempt(server);
+                }
+                if (!this->current && this->slow)
+                {
+                    this->count(outcome, has_server);
+                    this->await_running_attempt();
+                }
             }
-            attempt_result outcome;
-            if (server)
+            if (this->current)
             {
-                outcome = co_await this->attempt(*server);
-                if (outcome.withheld)
+                auto ended = co_await this->await_answer();
+                if (!ended)
                 {
                     continue;
                 }
-                this->tried.push_back(server->id);
+                outcome = std::move(*ended);
             }
             if (this->scope->exchange->disconnected())
             {
+                this->end_other_attempts();
                 this->scope->outcome = "caller_gone";
                 co_return;
             }
+            if (outcome.withheld)
+            {
+                continue;
+            }
+            const bool is_other_running = this->current || this->slow;
+            if (outcome.end != attempt_outcome::answered && is_other_running)
+            {
+                this->count(outcome, has_server);
+                this->await_running_attempt();
+                continue;
+            }
             const retry_decision next =
-                server ? this->decide(outcome) : this->decide_without_server();
+                has_server ? this->decide(outcome) : this->decide_without_server();
             if (next != retry_decision::try_another)
             {
+                this->end_other_attempts();
                 co_await this->finish(next, std::move(outcome));
                 co_return;
             }
@@ -130,6 +217,7 @@
                 pace_wait_since = now;
             }
             if (backoff <= duration::zero() || now >= pace_wait_until ||
+                (this->slow && this->slow->is_done) ||
                 this->scope->exchange->disconnected() ||
                 this->scope->part_block_in_force() != nullptr)
             {
@@ -241,44 +329,29 @@
                                                     fraction);
     }
 
-    /// Returns the time after which the attempt may end in favour of another server; zero
-    /// means never.
-    [[nodiscard]] duration first_attempt_timeout(const backend_server& server) const
+    /// Returns the time after which another server may be asked, too; nothing if none
+    /// may.
+    [[nodiscard]] std::optional<duration> repeat_delay(const backend_server& server) const
     {
         const service_route& route = *this->scope->route;
-        const bool may_try_another =
-            route.repeatable() && this->scope->possible_runs + 1 < route.max_attempts;
-        if (!may_try_another || route.target_latency <= milliseconds(0))
+        if (!route.repeatable() || route.target_latency <= milliseconds(0))
         {
-            return duration::zero();
+            return std::nullopt;
         }
-        return std::max(this->fraction_of_target(first_attempt_target_fraction),
-                        this->state->health.typical_latency(server.id) *
-                            first_attempt_latency_factor);
+        return std::max<duration>(this->fraction_of_target(first_attempt_target_fraction),
+                                  this->state->health.typical_latency(server.id) *
+                                      first_attempt_latency_factor);
     }
 
-    /// Ends a slow attempt as soon as another server may take the request and the budget
-    /// grants a repeat. Until then, only this attempt can bring the caller an answer.
-    void arm_attempt_timer(deadline_timer& timer,
-                           std::shared_ptr<upstream_connection> link,
-                           std::shared_ptr<const bool> is_active, duration after)
+    /// Tells whether another server may take the request and the budget grants a repeat,
+    /// which is then reserved.
+    [[nodiscard]] bool reserve_repeat()
     {
-        timer.arm(after,
-                  [this, &timer, link, is_active]
-                  {
-                      if (!*is_active)
-                      {
-                          return;
-                      }
-                      if (this->has_other_server() && this->take_repeat())
-                      {
-                          this->has_reserved_repeat = true;
-                          link->close();
-                          return;
-                      }
-                      this->arm_attempt_timer(timer, link, is_active,
-                                              repeat_poll_interval);
-                  });
+        this->has_reserved_repeat =
+            this->scope->possible_runs + 1 < this->scope->route->max_attempts &&
+            this->refusals <= max_refusals && this->has_other_server() &&
+            this->take_repeat();
+        return this->has_reserved_repeat;
     }
 
     [[nodiscard]] bool take_repeat()
@@ -293,21 +366,32 @@
                std::exchange(this->has_reserved_repeat, false) || this->take_repeat();
     }
 
-    task<attempt_result> attempt(const backend_server& server)
+    /// Sends the request to a server. Afterwards `current` is set if it was sent.
+    task<attempt_result> start_attempt(std::shared_ptr<const backend_server> server)
     {
-        attempt_result outcome;
         const time_point started_at = boot_now();
-        this->scope->server = server.id;
+        this->scope->server = server->id;
         ++this->scope->attempts;
-        this->state->health.begin(server.id);
-        outcome = co_await this->send_and_read(server);
+        this->state->health.begin(server->id);
+        attempt_result outcome = co_await this->send(server, started_at);
         if (outcome.withheld)
         {
-            this->state->health.withdraw(server.id);
-            log_failure(*this->scope, "attempt withheld", server.id,
-                        this->scope->withheld_reason(server));
+            this->state->health.withdraw(server->id);
+            log_failure(*this->scope, "attempt withheld", server->id,
+                        this->scope->withheld_reason(*server));
             co_return outcome;
         }
+        this->tried.push_back(server->id);
+        if (!this->current)
+        {
+            this->record_outcome(*server, started_at, outcome);
+        }
+        co_return outcome;
+    }
+
+    void record_outcome(const backend_server& server, time_point started_at,
+                        const attempt_result& outcome)
+    {
         const time_point now = boot_now();
         const bool is_servers_doing =
             !outcome.is_given_up && !this->scope->exchange->disconnected();
@@ -319,7 +403,100 @@
             log_failure(*this->scope, "attempt failed", server.id, to_string(outcome.end),
                         outcome.head.status);
         }
-        co_return outcome;
+    }
+
+    /// Waits until an attempt has ended.
+    /// \returns nothing if the server is slow and another one is to be asked meanwhile.
+    task<std::optional<attempt_result>> await_answer()
+    {
+        this->scope->step = "answer";
+        for (;;)
+        {
+            if (this->current->is_done)
+            {
+                co_return this->end_attempt(std::move(this->current));
+            }
+            if (this->slow && this->slow->is_done)
+            {
+                co_return this->end_attempt(std::move(this->slow));
+            }
+            const time_point now = boot_now();
+            duration wait = max_answer_wait;
+            if (!this->slow && this->current->repeat_at)
+            {
+                if (now >= *this->current->repeat_at && this->reserve_repeat())
+                {
+                    this->slow = std::move(this->current);
+                    co_return std::nullopt;
+                }
+                wait = now >= *this->current->repeat_at ? duration(repeat_poll_interval)
+                                                        : *this->current->repeat_at - now;
+            }
+            co_await this->attempt_ended->wait_for(wait);
+        }
+    }
+
+    attempt_result end_attempt(std::shared_ptr<running_attempt> ended)
+    {
+        this->state->pool.return_connection(ended->link);
+        this->scope->server = ended->server->id;
+        this->record_outcome(*ended->server, ended->started_at, ended->outcome);
+        this->set_disconnect_action();
+        return std::move(ended->outcome);
+    }
+
+    /// Goes on with the attempt that still runs, because the other one brought no answer.
+    void await_running_attempt()
+    {
+        if (std::exchange(this->has_reserved_repeat, false))
+        {
+            this->state->ledger.return_repeat(this->scope->service, boot_now());
+        }
+        if (!this->current)
+        {
+            this->current = std::move(this->slow);
+        }
+        this->scope->server = this->current->server->id;
+        this->set_disconnect_action();
+    }
+
+    /// Ends the attempts whose answers aren't needed any more.
+    void end_other_attempts()
+    {
+        this->scope->exchange->on_disconnect(nullptr);
+        if (this->current)
+        {
+            this->current->link->abandon();
+            this->state->health.withdraw(this->current->server->id);
+        }
+        if (this->slow)
+        {
+            this->slow->link->abandon();
+            this->slow->outcome.end = attempt_outcome::timed_out;
+            this->record_outcome(*this->slow->server, this->slow->started_at,
+                                 this->slow->outcome);
+        }
+    }
+
+    /// Closes the connections of the running attempts when the caller leaves.
+    void set_disconnect_action()
+    {
+        if (!this->current && !this->slow)
+        {
+            this->scope->exchange->on_disconnect(nullptr);
+            return;
+        }
+        this->scope->exchange->on_disconnect(
+            [current = this->current, slow = this->slow]
+            {
+                for (const auto& running : {current, slow})
+                {
+                    if (running)
+                    {
+                        running->link->abandon();
+                    }
+                }
+            });
     }
 
     /// Records whether the server ended under the request, or answered it.
@@ -336,20 +513,23 @@
         }
     }
 
-    task<attempt_result> send_and_read(const backend_server& server)
+    task<attempt_result> send(std::shared_ptr<const backend_server> server,
+                              time_point started_at)
     {
         attempt_result outcome;
-        auto link = this->state->pool.take(server.address, this->scope->metadata.id);
+        auto link = this->state->pool.take(server->address, this->scope->metadata.id);
         if (!link)
         {
-            link = co_await this->state->pool.open(server.address);
+            link = co_await this->state->pool.open(server->address);
         }
         if (!link)
         {
             co_return outcome;
         }
         caller_exchange& exchange = *this->scope->exchange;
-        if (exchange.disconnected())
+        const bool is_answered = this->slow && this->slow->is_done &&
+                                 this->slow->outcome.end == attempt_outcome::answered;
+        if (exchange.disconnected() || is_answered)
         {
             this->state->pool.return_connection(link);
             outcome.is_given_up = true;
@@ -363,7 +543,7 @@
             co_return outcome;
         }
         outcome.withheld = this->scope->part_block_in_force() != nullptr ||
-                           !this->state->try_begin_send(server);
+                           !this->state->try_begin_send(*server);
         if (outcome.withheld)
         {
             this->state->pool.return_connection(link);
@@ -375,78 +555,39 @@
             outcome.is_given_up = true;
             co_return outcome;
         }
-        exchange.on_disconnect([link] { link->abandon(); });
         forward_options options;
-        options.server = &server;
+        options.server = server.get();
         options.time_left = left;
         options.workspace = this->scope->workspace_name();
         link->send(this->state->dialect->write_request(exchange.request(), options),
                    exchange.request().body);
         ++this->requests_sent;
+        this->has_reserved_repeat = false;
         this->scope->is_trial = false;
-        this->scope->step = "answer";
-        outcome.end = co_await this->read_answer(link, server, outcome);
-        exchange.on_disconnect(nullptr);
-        this->state->pool.return_connection(link);
-        co_return outcome;
-    }
-
-    task<attempt_outcome> read_answer(std::shared_ptr<upstream_connection> link,
-                                      const backend_server& server,
-                                      attempt_result& outcome)
-    {
-        const auto is_active = std::make_shared<bool>(true);
-        deadline_timer timer(*this->state->loop);
-        const duration limit = this->first_attempt_timeout(server);
-        if (limit > duration::zero())
-        {
-            this->arm_attempt_timer(timer, link, is_active, limit);
-        }
-        const io_outcome end =
-            co_await this->read_whole_answer(*link, server, outcome.head);
-        *is_active = false;
-        if (end != io_outcome::good)
-        {
-            link->close();
-            outcome.is_broken = end == io_outcome::broken && !this->has_reserved_repeat;
-            co_return this->has_reserved_repeat || end == io_outcome::timed_out
-                ? attempt_outcome::timed_out
-                : attempt_outcome::lost;
-        }
-        outcome.body = link->take_body();
-        co_return this->classify_answer(outcome.head);
-    }
-
-    /// \param head the answer's head, if it arrives.
-    task<io_outcome> read_whole_answer(upstream_connection& link,
-                                       const backend_server& server, message_head& head)
-    {
-        const io_outcome end = co_await read_reply_head(
-            *this->state, server, link, this->scope->metadata.id, this->scope->deadline);
-        if (end != io_outcome::good)
+        this->current = std::make_shared<running_attempt>();
+        this->current->server = server;
+        this->current->link = link;
+        this->current->started_at = started_at;
+        if (const auto delay = this->repeat_delay(*server))
         {
-            co_return end;
+            this->current->repeat_at = boot_now() + *delay;
         }
-        head = link.head();
-        co_return co_await link.read_whole(this->scope->deadline, max_answer_size);
+        this->set_disconnect_action();
+        this->read_in_background();
+        co_return outcome;
     }
 
-    [[nodiscard]] attempt_outcome classify_answer(const message_head& head) const
+    void read_in_background()
     {
-        constexpr int first_error = 400;
-        constexpr int first_server_error = 500;
-        const reply_metadata reply = this->state->dialect->read_reply(head);
-        if (reply.not_run)
-        {
-            return attempt_outcome::refused;
-        }
-        if (!reply.is_signed && head.status < first_error)
-        {
-            return attempt_outcome::lost;
-        }
-        const bool is_failure =
-            head.status >= first_server_error || status_implies_not_run(head.status);
-        return is_failure ? attempt_outcome::failed : attempt_outcome::answered;
+        spawn(*this->state->loop,
+              [state = this->state, attempt = this->current, ended = this->attempt_ended,
+               id = this->scope->metadata.id,
+               deadline = this->scope->deadline]() -> task<void>
+              {
+                  co_await read_answer(*state, attempt, id, deadline);
+                  attempt->is_done = true;
+                  ended->notify();
+              });
     }
 
     [[nodiscard]] static server_observation
@@ -474,12 +615,23 @@
         return retry_decision::report_not_run;
     }
 
-    [[nodiscard]] retry_decision decide(const attempt_result& outcome)
+    /// Counts an attempt that has ended.
+    /// \param was_made whether there was a server for it.
+    void count(const attempt_result& outcome, bool was_made)
     {
+        if (!was_made || outcome.withheld)
+        {
+            return;
+        }
         const bool not_run = outcome.end == attempt_outcome::refused ||
                              outcome.end == attempt_outcome::not_sent;
         this->refusals += not_run ? 1 : 0;
         this->scope->possible_runs += not_run ? 0 : 1;
+    }
+
+    [[nodiscard]] retry_decision decide(const attempt_result& outcome)
+    {
+        this->count(outcome, true);
         const time_point now = boot_now();
         retry_state progress;
         progress.end = outcome.end;
@@ -539,6 +691,10 @@
     std::uint32_t refusals = 0;
     std::uint32_t requests_sent = 0;
     bool has_reserved_repeat = false; ///< Already taken from the budget.
+    std::shared_ptr<running_attempt> current;
+    /// The attempt before `current`, whose answer may still come.
+    std::shared_ptr<running_attempt> slow;
+    std::shared_ptr<wake_signal> attempt_ended;
 };
 
 } // namespace
--- /dev/null
+++ b/tests/site/slow_answer_test.py
@@ -0,0 +1,154 @@
+"""Tests that a slow answer of a plain service is awaited until another server has answered."""
+
+import asyncio
+import os
+import socket
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import run  # noqa: E402
+from path_test import check, start_site  # noqa: E402
+from platform_site import reset_connection, response_bytes, wait_for  # noqa: E402
+from silent_stream_test import FLEET, MAX_LEAVING_S, Streams  # noqa: E402
+
+SLOW_S = 0.4  # From what the second server does to the first one's answer.
+
+
+class Answers:
+    """Makes the first server of a request slow, and another one do what `act` does."""
+
+    def __init__(self, act):
+        self.act, self.answers_now = act, asyncio.Event()
+        self.first_id = self.first_left_at = self.second_left_at = None
+        self.repeats = 0
+
+    async def handle(self, replica, request, reader, writer):
+        if self.first_id is None:
+            self.first_id = request.id
+            if await Streams.is_left(reader, self.answers_now.wait()):
+                self.first_left_at = time.monotonic()
+                return False
+            writer.write(response_bytes(200, b"slow answer", replica.identity_headers(request)))
+            return True
+        self.repeats += 1
+        return await self.act(self, replica, request, reader, writer)
+
+    def answer_soon(self):
+        asyncio.get_running_loop().call_later(SLOW_S, self.answers_now.set)
+
+
+async def refuse(answers, replica, request, _reader, writer):
+    answers.answer_soon()
+    writer.write(replica.refusal(request))
+    return True
+
+
+async def fail(answers, replica, request, _reader, writer):
+    answers.answer_soon()
+    writer.write(response_bytes(500, b"failed", replica.identity_headers(request)))
+    return True
+
+
+async def reset(answers, _replica, _request, _reader, writer):
+    answers.answer_soon()
+    reset_connection(writer)
+    return False
+
+
+async def accept_silently(answers, replica, request, reader, writer):
+    answers.answer_soon()
+    return await stay_silent(answers, replica, request, reader, writer)
+
+
+async def stay_silent(answers, _replica, _request, reader, _writer):
+    if await Streams.is_left(reader, asyncio.sleep(10)):
+        answers.second_left_at = time.monotonic()
+    return False
+
+
+async def answer(_answers, replica, request, _reader, writer):
+    writer.write(response_bytes(200, b"quick answer", replica.identity_headers(request)))
+    return True
+
+
+def start_answers(build, directory, act):
+    answers = Answers(act)
+    site = start_site(build, directory, fleet=FLEET)
+    for replica in site.replicas_of("plain"):
+        replica.handler = answers.handle
+    return site, answers
+
+
+def check_slow_answer_comes(build, directory, act):
+    site, answers = start_answers(build, directory, act)
+    with site:
+        response = site.get("/safe/a")
+        check(response.status == 200 and response.body == b"slow answer",
+              response.status, response.body)
+        check(answers.first_left_at is None and answers.repeats == 1, answers.repeats)
+    return answers
+
+
+def test_a_slow_answer_outlives_a_refused_repeat(build, directory):
+    """Guards against a request that fails because its slow server was left for one that refuses
+    it, and the budget has no repeat for a third."""
+    check_slow_answer_comes(build, directory, refuse)
+
+
+def test_a_slow_answer_outlives_a_failed_repeat(build, directory):
+    check_slow_answer_comes(build, directory, fail)
+
+
+def test_a_slow_answer_outlives_a_repeat_that_breaks(build, directory):
+    check_slow_answer_comes(build, directory, reset)
+
+
+def test_a_slow_answer_that_comes_first_ends_the_repeat(build, directory):
+    answers = check_slow_answer_comes(build, directory, accept_silently)
+    check(answers.second_left_at is not None, "the second server was kept")
+
+
+def test_a_slow_answer_outlives_a_server_that_cannot_be_reached(build, directory):
+    site, answers = start_answers(build, directory, refuse)
+    with site:
+        async def close_the_other(_answers, _replica, _request, _reader, _writer):
+            raise AssertionError("not reached")
+        answers.act = close_the_other
+
+        async def handle(replica, request, reader, writer):
+            for other in site.replicas_of("plain"):
+                if other is not replica:
+                    other.listener.close()
+            answers.answer_soon()
+            return await answers.handle(replica, request, reader, writer)
+        for replica in site.replicas_of("plain"):
+            replica.handler = handle
+        response = site.get("/safe/a")
+        check(response.status == 200 and response.body == b"slow answer",
+              response.status, response.body)
+
+
+def test_a_slow_server_is_left_when_another_has_answered(build, directory):
+    site, answers = start_answers(build, directory, answer)
+    with site:
+        response = site.get("/safe/a")
+        check(response.status == 200 and response.body == b"quick answer", response.body)
+        wait_for(lambda: answers.first_left_at, "the slow server to be left", 1)
+
+
+def test_a_caller_that_leaves_ends_both_calls(build, directory):
+    site, answers = start_answers(build, directory, stay_silent)
+    with site:
+        head = "".join(f"{name}: {value}\r\n" for name, value in site.headers().items())
+        with socket.create_connection(("127.0.0.1", site.entries[0].callers)) as caller:
+            caller.sendall(f"GET /safe/a HTTP/1.1\r\n{head}\r\n".encode())
+            wait_for(lambda: answers.repeats, "the repeat")
+        left_at = time.monotonic()
+        wait_for(lambda: answers.first_left_at and answers.second_left_at, "both ends", 2)
+        check(max(answers.first_left_at, answers.second_left_at) - left_at <= MAX_LEAVING_S,
+              answers.first_left_at - left_at, answers.second_left_at - left_at)
+
+
+if __name__ == "__main__":
+    sys.exit(run.main(globals()))
