--- a/fakes/platform_site.py
+++ b/fakes/platform_site.py
@@ -407,6 +407,7 @@
         self.silent_from = None  # The event at which streams that begin here fall silent.
         self.latency_s = 0.0  # Until a plain answer, a prefill or the head of a stream.
         self.refused_share = 0.0  # Of the requests that are not misdirected.
+        self.paused_until = 0.0  # No stream sends an event before that time.
         self.random = random.Random(self.id)
         self.site = None  # Whose store gets its heartbeats.
         self.cold_until = 0.0
@@ -618,6 +619,7 @@
             for number in range(first_number, self.event_count + 1):
                 if number == self.silent_from and first_number == 1:
                     await asyncio.sleep(3600)
+                await asyncio.sleep(max(0.0, self.paused_until - time.monotonic()))
                 shown = f".{self.version}" if self.shows_version else ""
                 event = (EVENT % (number, f"{request.id}.{number}{shown}")).encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -2,10 +2,11 @@
 callers and servers saw.
 
     python3 tests/site/soak.py BUILD [--seed N] [--seeds N] [--seconds S] [--entries N]
-        [--callers N] [--planned] [--domains]
+        [--callers N] [--planned] [--domains] [--pauses]
 
 With --planned only stops, settings and configurations change; otherwise anything breaks. With
---domains failure domains are evacuated as well, and servers become cold.
+--domains failure domains are evacuated as well, and servers become cold. With --pauses decode
+servers fall silent for a time, while others refuse requests and few repeats are left.
 """
 
 import argparse
@@ -45,6 +46,7 @@
 COLD_S = 2.5
 COLD_PER_S = 12
 COLD_BOUND = COLD_PER_S * 1.5 + 5
+FEW_REPEATS = {"allowance_reserve_tokens": 100_000, "repeat_extra": 30, "repeat_ratio": 0}
 PROMISES = (408, 421, 429, 503)
 KINDS = [("/safe/a", None), ("/once/a", None), ("/draft/a", "500,40"), ("/resume/a", "500,40")]
 
@@ -58,16 +60,18 @@
     """One run: a site, its callers and its troubles."""
 
     def __init__(self, build, directory, seed, seconds=20, entries=3, callers=16, planned=False,
-                 domains=False):
+                 domains=False, pauses=False):
         self.random = random.Random(seed)
         self.crowd_random = random.Random(seed)  # Other troubles don't depend on crowds.
+        self.pause_random = random.Random(seed)
         self.seconds, self.planned, self.domains = seconds, planned, domains
+        self.pauses = pauses
         settings = {"memory_mb": MEMORY_MB}
         if domains:
             settings.update(evacuation_ms=EVACUATED_S * 1000, pace_servers=True,
                             regions={"zone-a": "north", "zone-b": "north"})
         self.site = Site(build, directory, entries=entries, grace_ms=GRACE_S * 1000,
-                         settings=settings)
+                         settings=settings, fleet=FEW_REPEATS if pauses else None)
         for number in range(3):
             self.site.add_replica("plain", zone=self.zone_of(number))
         for number, stage in enumerate(("prefill", "prefill", "decode", "decode", "decode")):
@@ -401,6 +405,27 @@
             await asyncio.to_thread(press, entry, blocks, self.crowd_random.uniform(0, 2))
             span[1] = time.monotonic()
 
+    async def pause_servers(self):
+        """Decode servers fall silent together, for longer than a silent stream is left alone, and
+        refuse all or most of what they get meanwhile; or some plain servers are slow and others
+        refuse."""
+        end = time.monotonic() + self.seconds
+        decode, plain = self.site.replicas_of("model", "decode"), self.site.replicas_of("plain")
+        while time.monotonic() < end:
+            await asyncio.sleep(self.pause_random.uniform(0.5, 2))
+            pause_s = self.pause_random.uniform(0.5, 1.5)
+            slow = self.pause_random.sample(plain, 2)
+            self.note(f"servers pause for {pause_s:.2f} s")
+            for replica in decode:
+                replica.paused_until = time.monotonic() + pause_s
+                replica.refused_share = self.pause_random.choice([0.5, 0.9, 1.0])
+            for replica in plain:
+                replica.latency_s = pause_s if replica in slow else 0.0
+                replica.refused_share = 0.0 if replica in slow else 0.5
+            await asyncio.sleep(pause_s)
+            for replica in decode + plain:
+                replica.refused_share = replica.latency_s = 0.0
+
     async def evacuation(self, cold_s=0):
         """Operators evacuate a domain, one at a time, and take it back into service."""
         if self.evacuations and self.evacuations[-1][2] > time.monotonic():
@@ -446,6 +471,8 @@
         if self.domains:
             kinds = kinds + [self.evacuation, self.cold_return, self.cold_return]
         running = [] if self.planned else [asyncio.ensure_future(self.press_entries())]
+        if self.pauses:
+            running.append(asyncio.ensure_future(self.pause_servers()))
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
             running.append(asyncio.ensure_future(self.random.choice(kinds)()))
@@ -624,12 +651,13 @@
     parser.add_argument("--callers", type=int, default=16)
     parser.add_argument("--planned", action="store_true")
     parser.add_argument("--domains", action="store_true")
+    parser.add_argument("--pauses", action="store_true")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         directory = os.path.join(options.build, "site_tests", f"soak-{seed}")
         soak = Soak(options.build, directory, seed, options.seconds, options.entries,
-                    options.callers, options.planned, options.domains)
+                    options.callers, options.planned, options.domains, options.pauses)
         requests = soak.play()
         print(f"seed {seed}: {requests} requests, {len(soak.stops)} stops, "
               f"{len(soak.faults)} faults", flush=True)
--- a/tests/site/soak_test.py
+++ b/tests/site/soak_test.py
@@ -11,8 +11,9 @@
 SECONDS = 10
 
 
-def play(build, directory, seed, planned, domains=False):
-    soak = Soak(build, directory, seed, seconds=SECONDS, planned=planned, domains=domains)
+def play(build, directory, seed, planned, domains=False, pauses=False):
+    soak = Soak(build, directory, seed, seconds=SECONDS, planned=planned, domains=domains,
+                pauses=pauses)
     requests = soak.play()
     check(not soak.faults, f"seed {seed}", *soak.log, *soak.faults)
     check(requests > 100, requests)
@@ -30,5 +31,9 @@
     play(build, directory, seed=301, planned=False, domains=True)
 
 
+def test_pauses_of_servers_while_others_refuse_lose_nothing(build, directory):
+    play(build, directory, seed=5001, planned=True, pauses=True)
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
