agateseamd: keep a silent attempt until another one has brought a token

Cause: the same class. The HTTP client ended a call that had brought nothing for limits.silence_ms, at the entry for its agent and at the agent for its engine. The request then needed a retry, an attempt, an agent and a slot there, any of which may be lacking.

Change: a sink decides whether a silent call goes on. The entry keeps the silent attempt and its lease, probes the agent and begins another attempt beside it, at another agent if there is one, within the limits of attempts and retries. The first that brings a token has the stream; the other is ended at its agent. The attempts' state is kept apart and guarded, because the calls of two may run on two threads. An agent doesn't end the attempt of a silent engine, and sends no heartbeats meanwhile, so that the entry notices.

--- a/src/daemon/decode_attempt.cpp
+++ b/src/daemon/decode_attempt.cpp
@@ -20,6 +20,9 @@
 
 constexpr int status_ok = 200;
 constexpr int status_busy = 503; // The request was refused before it began.
+/// Heartbeats end when the engine has been silent for this part of the time after which
+/// the entry takes the stream for silent.
+constexpr int engine_silence_divisor = 2;
 
 /// Tells whether an engine's answer id contains a request id that no digit follows.
 bool contains_request_id(std::string_view text, std::string_view id) noexcept
@@ -121,9 +124,14 @@
         }
     }
 
+    /// A heartbeat tells the entry that the stream is alive, which isn't known while its
+    /// engine is silent.
     void on_heartbeat() override
     {
-        this->exchange->write(stream_heartbeat);
+        if (!this->is_engine_silent)
+        {
+            this->exchange->write(stream_heartbeat);
+        }
         const std::uint32_t received = this->delivered;
         const std::uint32_t limit = this->order.output_tokens;
         if (received > this->order.resume_from && received < limit)
@@ -141,8 +149,22 @@
         this->engine_status = status;
     }
 
+    /// The entry decides when a silent engine's answer is given up, as only it knows of
+    /// another one.
+    [[nodiscard]] bool on_silence() override
+    {
+        if (!this->is_engine_silent.exchange(true))
+        {
+            log_line(log_level::info, "engine silent",
+                     {{"attempt", this->engine_id()},
+                      {"delivered", std::int64_t{this->delivered}}});
+        }
+        return true;
+    }
+
     [[nodiscard]] bool on_data(std::string_view data) override
     {
+        this->is_engine_silent = false;
         if (this->engine_status != status_ok)
         {
             this->failure_bytes += data.size();
@@ -328,7 +350,8 @@
         decode.method = "POST";
         decode.url = this->context->settings.backend.url + this->order.path;
         decode.step = "decode";
-        decode.idle_timeout = this->context->settings.limits.silence_timeout;
+        decode.idle_timeout =
+            this->context->settings.limits.silence_timeout / engine_silence_divisor;
         decode.headers = {{"Content-Type", "application/json"},
                           {"x-request-id", this->engine_id()}};
         static constexpr std::array<std::string_view, 1> other_limits{
@@ -512,6 +535,7 @@
     int engine_status = 0;
     std::size_t failure_bytes = 0; ///< Of the engine's answer, if it failed.
     bool stream_complete = false;
+    std::atomic<bool> is_engine_silent = false;
     std::mutex start_mutex; ///< Held by start() until the stream has begun.
     std::mutex mutex;
     bool cancelled = false;
--- a/src/daemon/model_request.cpp
+++ b/src/daemon/model_request.cpp
@@ -23,6 +23,8 @@
 using std::chrono::milliseconds;
 
 constexpr int status_ok = 200;
+/// Name of the event with which an agent reports that an attempt has failed.
+constexpr std::string_view failure_event = "failure";
 
 /// Reads the token number from "ATTEMPT.NUMBER".
 /// \returns nothing for malformed text or another attempt.
@@ -43,10 +45,25 @@
     return complete ? std::optional(token_number) : std::nullopt;
 }
 
-/// One caller's request. It makes attempts one after another and relays the answer.
-class model_request final : public http_sink,
-                            public attempt_owner,
-                            public std::enable_shared_from_this<model_request>
+/// One attempt of a request, and what its agent has sent.
+struct model_attempt
+{
+    attempt_id id;
+    std::string decode_vm;
+    std::string decode_address;
+    std::string prefill_vm;
+    int agent_status = 0;                 ///< HTTP status of the agent's answer.
+    bool answers_another_attempt = false; ///< The answer does not name this attempt.
+    event_splitter events;
+    std::optional<attempt_failure> failure;
+    bool stream_complete = false;
+    bool is_silent = false;        ///< Nothing has come for the longest silence.
+    http_client::call_id call = 0; ///< Guarded by the request's `call_mutex`.
+};
+
+/// One caller's request. It makes attempts one after another and relays the answer. While
+/// an attempt is silent, another one may run beside it until either goes on.
+class model_request final : public std::enable_shared_from_this<model_request>
 {
   public:
     model_request(entry_context& shared, std::shared_ptr<http_exchange> caller)
@@ -58,7 +75,7 @@
         ++this->context->requests_in_progress;
     }
 
-    ~model_request() override { --this->context->requests_in_progress; }
+    ~model_request() { --this->context->requests_in_progress; }
     model_request(const model_request&) = delete;
     model_request& operator=(const model_request&) = delete;
 
@@ -89,6 +106,7 @@
     /// Starts the first attempt after the tokens have been reserved.
     void on_admitted(const admission_decision& decision)
     {
+        const std::scoped_lock lock(this->event_mutex);
         this->id = this->context->next_request_id();
         this->answer.set_request(this->id, this->parts, decision);
         this->meter.record_admitted(this->id, this->workspace, this->pool, this->policy,
@@ -109,140 +127,292 @@
         this->next_attempt();
     }
 
-    void on_head(int status, const std::vector<http_header>& head) override
+    void on_head(model_attempt& from, int status, const std::vector<http_header>& head)
     {
-        this->agent_status = status;
+        const std::scoped_lock lock(this->event_mutex);
+        from.agent_status = status;
         this->context->apply_load_header(head);
         const auto answer_header =
             std::find_if(head.begin(), head.end(),
                          [](const auto& item) { return item.first == headers::answer; });
-        this->answers_another_attempt =
+        from.answers_another_attempt =
             status == status_ok &&
-            (answer_header == head.end() ||
-             answer_header->second != to_text(this->current_attempt_id()));
+            (answer_header == head.end() || answer_header->second != to_text(from.id));
     }
 
-    [[nodiscard]] bool on_data(std::string_view data) override
+    [[nodiscard]] bool on_data(model_attempt& from, std::string_view data)
     {
-        if (this->ends_for_withdrawn_key())
+        const std::scoped_lock lock(this->event_mutex);
+        if (!this->is_open(from) || this->ends_for_withdrawn_key())
         {
             return false;
         }
-        if (this->agent_status != status_ok)
+        if (from.agent_status != status_ok)
         {
             return true;
         }
-        if (this->answers_another_attempt)
+        if (from.answers_another_attempt)
         {
             ++this->context->counters.events_dropped;
             return false;
         }
-        this->events.feed(data);
-        while (const auto event = this->events.next())
+        from.is_silent = false;
+        from.events.feed(data);
+        auto event = from.events.next();
+        const bool has_failed = event && event->name == failure_event;
+        if (&from == this->silent.get() && !has_failed)
+        {
+            this->go_on_with_silent_attempt("it goes on");
+        }
+        for (; event; event = from.events.next())
         {
-            if (!this->handle_event(*event))
+            if (!this->handle_event(from, *event))
             {
                 return false;
             }
         }
-        return !this->exchange->disconnected() && !this->events.is_oversize();
+        return !this->exchange->disconnected() && !from.events.is_oversize();
     }
 
-    void on_done(const result<void>& outcome) override
+    /// Looks for another agent when the current attempt is silent. Its answer may still
+    /// come, so it goes on until another attempt has brought a token.
+    [[nodiscard]] bool on_silence(model_attempt& from)
     {
-        this->context->attempts.remove(this->current_attempt_id());
+        const std::scoped_lock lock(this->event_mutex);
+        if (!this->is_open(from))
+        {
+            return false;
+        }
+        if (this->silent)
+        {
+            return true;
+        }
+        if (this->is_first_token_late())
+        {
+            return false;
+        }
+        if (!from.is_silent)
+        {
+            ++this->context->counters.streams_silent;
+        }
+        from.is_silent = true;
+        if (this->attempt < this->context->settings.limits.max_attempts)
+        {
+            this->probe_agent(from.id, from.decode_address,
+                              [self = this->shared_from_this(),
+                               probed = this->current](agent_health agent)
+                              { self->replace_silent_attempt(*probed, agent); });
+        }
+        return true;
+    }
+
+    void on_done(model_attempt& from, const result<void>& outcome)
+    {
+        this->context->attempts.remove(from.id);
+        const std::scoped_lock lock(this->event_mutex);
+        if (!this->is_open(from))
+        {
+            return;
+        }
         if (this->exchange->disconnected())
         {
             this->meter.record_cancelled(this->answer.stream_begun());
-            this->end_current_attempt_at_agent();
+            this->end_attempts();
             this->settle_reservation();
         }
-        else if (this->stream_complete)
+        else if (from.stream_complete)
         {
+            this->end_silent_attempt();
+            this->current.reset();
             this->finish();
         }
         else if (this->ends_for_withdrawn_key())
         {
             this->end_with_error(this->key_withdrawn_error());
         }
-        else if (this->failure)
+        else if (&from == this->silent.get())
         {
-            this->try_again(*this->failure);
+            this->end_silent_attempt();
         }
-        else if (!outcome && outcome.error().code == error_code::unavailable)
+        else if (this->silent)
         {
-            this->try_again({run_state::not_run, outcome.error()});
+            this->record_failure(from, failure_of(from, outcome));
+            this->go_on_with_silent_attempt("the other attempt failed");
         }
-        else if (!outcome)
+        else if (!from.failure && !outcome &&
+                 outcome.error().code != error_code::unavailable)
         {
-            this->probe_agent(outcome.error());
+            this->probe_after_loss(this->current, outcome.error());
         }
         else
         {
-            this->try_again(
-                {run_state::not_run,
-                 {error_code::exhausted, "reserve slot", this->decode_vm,
-                  "the agent answered " + std::to_string(this->agent_status)}});
+            const auto failed = this->current;
+            this->try_again(*failed, failure_of(from, outcome));
         }
     }
 
-    void on_attempt_lost() override
+    void on_attempt_lost(const model_attempt& lost)
     {
         ++this->context->counters.attempts_lost;
+        this->cancel_call(lost);
+    }
+
+  private:
+    /// State of the agent of a failed attempt; a suspected agent is excluded from
+    /// retries.
+    enum class agent_health : std::uint8_t
+    {
+        reachable,
+        suspected
+    };
+
+    /// Tells whether the answer may still come from an attempt.
+    [[nodiscard]] bool is_open(const model_attempt& asked) const noexcept
+    {
+        return &asked == this->current.get() || &asked == this->silent.get();
+    }
+
+    [[nodiscard]] bool is_first_token_late() const
+    {
+        return this->delivered == 0 && this->context->time.now() >= this->deadline;
+    }
+
+    /// Returns why an attempt without a complete answer has ended.
+    [[nodiscard]] static attempt_failure failure_of(const model_attempt& ended,
+                                                    const result<void>& outcome)
+    {
+        if (ended.failure)
+        {
+            return *ended.failure;
+        }
+        if (!outcome)
+        {
+            return {outcome.error().code == error_code::unavailable ? run_state::not_run
+                                                                    : run_state::unknown,
+                    outcome.error()};
+        }
+        return {run_state::not_run,
+                {error_code::exhausted, "reserve slot", ended.decode_vm,
+                 "the agent answered " + std::to_string(ended.agent_status)}};
+    }
+
+    void cancel_call(const model_attempt& ended)
+    {
         http_client::call_id running_call = 0;
         {
-            const std::scoped_lock lock(this->mutex);
-            running_call = this->call_id;
+            const std::scoped_lock lock(this->call_mutex);
+            running_call = ended.call;
         }
         this->context->client->cancel(running_call);
     }
 
-  private:
-    [[nodiscard]] attempt_id current_attempt_id() const
+    /// Ends an attempt whose answer isn't needed any more.
+    void end_attempt(const model_attempt& ended)
     {
-        return {this->id, this->attempt};
+        this->context->attempts.remove(ended.id);
+        this->cancel_call(ended);
+        end_attempt_at_agent(*this->context, ended.decode_address, ended.id);
     }
 
-    void end_current_attempt_at_agent()
+    void end_silent_attempt()
     {
-        end_attempt_at_agent(*this->context, this->decode_address,
-                             this->current_attempt_id());
+        if (const auto ended = std::move(this->silent))
+        {
+            this->end_attempt(*ended);
+        }
     }
 
-    /// Asks the agent over a new connection whether it is reachable, because a silent or
-    /// broken stream does not show that the agent has failed.
-    void probe_agent(const error& fault)
+    void end_attempts()
     {
-        if (fault.code == error_code::timeout)
+        this->end_silent_attempt();
+        if (const auto ended = std::move(this->current))
         {
-            ++this->context->counters.streams_silent;
+            this->end_attempt(*ended);
         }
+    }
+
+    /// Ends the other attempt, which has brought no token, and waits for the silent one.
+    void go_on_with_silent_attempt(std::string_view reason)
+    {
+        const auto ended = std::exchange(this->current, std::move(this->silent));
+        this->silent.reset();
+        this->end_attempt(*ended);
+        log_line(log_level::info, "silent attempt kept",
+                 {{"request", std::string_view(this->id)},
+                  {"attempt", std::int64_t{this->current->id.attempt}},
+                  {"reason", reason}});
+    }
+
+    /// Begins another attempt beside the silent one, if one may be made.
+    void replace_silent_attempt(const model_attempt& probed, agent_health agent)
+    {
+        const std::scoped_lock lock(this->event_mutex);
+        if (&probed != this->current.get() || !probed.is_silent || this->silent ||
+            this->exchange->disconnected() || this->ends_for_withdrawn_key())
+        {
+            return;
+        }
+        if (agent == agent_health::suspected)
+        {
+            this->exclude(probed.decode_vm);
+        }
+        std::vector<std::string> excluded = this->excluded_vms;
+        excluded.push_back(probed.decode_vm);
+        placement_request query = this->make_placement_request();
+        query.excluded_vms = excluded;
+        auto choice = this->choose(query);
+        if (!choice)
+        {
+            choice = this->choose(this->make_placement_request());
+        }
+        if (!choice || !this->try_take_retry())
+        {
+            return;
+        }
+        log_line(log_level::info, "attempt silent",
+                 {{"request", std::string_view(this->id)},
+                  {"attempt", std::int64_t{probed.id.attempt}},
+                  {"delivered", std::int64_t{this->delivered}},
+                  {"replacement", std::string_view(choice->decode->vm)}});
+        this->record_resumption();
+        this->silent = this->current;
+        this->send(*choice);
+    }
+
+    /// Asks an agent over a new connection whether it is reachable, because a silent or
+    /// broken stream does not show that the agent has failed.
+    void probe_agent(const attempt_id& probed, const std::string& address,
+                     std::function<void(agent_health)> done)
+    {
         http_call call;
-        call.url = "http://" + this->decode_address + "/agent/attempts/" + this->id +
-                   "/" + std::to_string(this->attempt);
+        call.url = "http://" + address + "/agent/attempts/" + probed.request + "/" +
+                   std::to_string(probed.attempt);
         call.step = "probe";
         call.total_timeout = this->context->settings.limits.silence_timeout;
         call.fresh_connection = true;
         call.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret}};
         this->context->client->fetch_async(
-            std::move(call),
-            [self = this->shared_from_this(), fault](const result<http_reply>& reply)
-            {
-                self->end_current_attempt_at_agent();
-                self->try_again({run_state::unknown, fault},
-                                reply ? agent_health::reachable
-                                      : agent_health::suspected);
-            });
+            std::move(call), [done = std::move(done)](const result<http_reply>& reply)
+            { done(reply ? agent_health::reachable : agent_health::suspected); });
     }
 
-    /// State of the agent of a failed attempt; a suspected agent is excluded from
-    /// retries.
-    enum class agent_health : std::uint8_t
+    /// Makes another attempt after one whose connection has ended.
+    void probe_after_loss(std::shared_ptr<model_attempt> lost, const error& fault)
     {
-        reachable,
-        suspected
-    };
+        if (fault.code == error_code::timeout)
+        {
+            ++this->context->counters.streams_silent;
+        }
+        this->probe_agent(
+            lost->id, lost->decode_address,
+            [self = this->shared_from_this(), lost, fault](agent_health agent)
+            {
+                const std::scoped_lock lock(self->event_mutex);
+                end_attempt_at_agent(*self->context, lost->decode_address, lost->id);
+                self->try_again(*lost, {run_state::unknown, fault}, agent);
+            });
+    }
 
     void refuse(const api_error& refusal) { this->answer.refuse(refusal); }
 
@@ -335,14 +505,7 @@
             this->end_with_error(this->key_withdrawn_error());
             return;
         }
-        placement_request query;
-        query.pool = this->pool;
-        query.workspace = this->workspace;
-        query.failure_domain = this->context->settings.failure_domain;
-        query.prompt_tokens = this->parts.prompt_tokens;
-        query.output_tokens = this->parts.output_tokens;
-        query.excluded_vms = this->excluded_vms;
-        const auto choice = this->choose(query);
+        const auto choice = this->choose(this->make_placement_request());
         if (!choice)
         {
             this->meter.record_failed(choice.error().code, this->answer.stream_begun());
@@ -352,6 +515,18 @@
         this->send(*choice);
     }
 
+    [[nodiscard]] placement_request make_placement_request() const
+    {
+        placement_request query;
+        query.pool = this->pool;
+        query.workspace = this->workspace;
+        query.failure_domain = this->context->settings.failure_domain;
+        query.prompt_tokens = this->parts.prompt_tokens;
+        query.output_tokens = this->parts.output_tokens;
+        query.excluded_vms = this->excluded_vms;
+        return query;
+    }
+
     [[nodiscard]] result<placement_choice> choose(const placement_request& query)
     {
         const auto members = this->context->board.members.read();
@@ -365,11 +540,13 @@
     void send(const placement_choice& choice)
     {
         ++this->attempt;
-        this->decode_vm = choice.decode->vm;
-        this->decode_address = choice.decode->address;
-        this->prefill_vm = choice.prefill->vm;
+        this->current = std::make_shared<model_attempt>();
+        this->current->id = {this->id, this->attempt};
+        this->current->decode_vm = choice.decode->vm;
+        this->current->decode_address = choice.decode->address;
+        this->current->prefill_vm = choice.prefill->vm;
         attempt_order order;
-        order.id = {this->id, this->attempt};
+        order.id = this->current->id;
         order.workspace = this->workspace;
         order.weight = this->weight;
         order.path = this->exchange->request().path;
@@ -386,7 +563,7 @@
         call.step = "decode";
         call.idle_timeout = this->context->settings.limits.silence_timeout;
         call.total_timeout = this->context->settings.limits.request_timeout;
-        this->meter.record_sent(this->attempt, this->decode_vm, this->delivered);
+        this->meter.record_sent(this->attempt, choice.decode->vm, this->delivered);
         call.headers = {
             {std::string(headers::fleet), this->context->settings.fleet_secret},
             {std::string(headers::attempt), to_text(order)},
@@ -395,35 +572,19 @@
         this->start_call(std::move(call));
     }
 
-    void start_call(http_call call)
-    {
-        this->events = {};
-        this->failure.reset();
-        this->answers_another_attempt = false;
-        const std::scoped_lock lock(this->mutex);
-        if (this->cancelled)
-        {
-            this->meter.record_cancelled(this->answer.stream_begun());
-            this->settle_reservation();
-            return;
-        }
-        this->context->attempts.add(this->decode_address, this->current_attempt_id(),
-                                    this->weak_from_this());
-        this->call_id =
-            this->context->client->start(std::move(call), this->shared_from_this());
-    }
+    void start_call(http_call call);
 
     /// \returns false when the attempt must end.
-    [[nodiscard]] bool handle_event(const server_sent_event& event)
+    [[nodiscard]] bool handle_event(model_attempt& from, const server_sent_event& event)
     try
     {
         if (event.data == stream_end)
         {
-            this->stream_complete = true;
+            from.stream_complete = true;
         }
-        else if (event.name == "failure")
+        else if (event.name == failure_event)
         {
-            this->failure = parse_attempt_failure(event.data);
+            from.failure = parse_attempt_failure(event.data);
         }
         else if (event.name == "stamp")
         {
@@ -435,25 +596,24 @@
         }
         else
         {
-            return this->handle_chunk(event);
+            return this->handle_chunk(from, event);
         }
         return true;
     }
     catch (const json::exception& fault)
     {
-        this->failure = attempt_failure{
-            run_state::ran,
-            {error_code::broken, "decode", this->decode_vm, fault.what()}};
+        from.failure = attempt_failure{
+            run_state::ran, {error_code::broken, "decode", from.decode_vm, fault.what()}};
         return false;
     }
 
     /// Passes on each token once and in order, and the last chunk of the answer once.
     /// \returns false when the attempt must end.
-    [[nodiscard]] bool handle_chunk(const server_sent_event& event)
+    [[nodiscard]] bool handle_chunk(model_attempt& from, const server_sent_event& event)
     {
         if (!event.id.empty())
         {
-            const auto number = parse_token_number(event.id, this->attempt);
+            const auto number = parse_token_number(event.id, from.id.attempt);
             if (!number || *number <= this->delivered)
             {
                 ++this->context->counters.events_dropped;
@@ -462,11 +622,12 @@
             if (*number > this->delivered + 1)
             {
                 ++this->context->counters.event_gaps;
-                this->failure = attempt_failure{run_state::ran,
-                                                {error_code::broken, "decode",
-                                                 this->decode_vm, "a token is missing"}};
+                from.failure = attempt_failure{
+                    run_state::ran,
+                    {error_code::broken, "decode", from.decode_vm, "a token is missing"}};
                 return false;
             }
+            this->end_silent_attempt();
             return this->deliver_token(event);
         }
         if (event.name == "finish" && this->last_chunk_passed)
@@ -533,69 +694,91 @@
         return this->may_have_run ? run_state::unknown : run_state::not_run;
     }
 
+    void record_failure(const model_attempt& ended, const attempt_failure& failed)
+    {
+        this->meter.record_attempt_failed(ended.id.attempt, failed.fault);
+        log_error("attempt failed", failed.fault,
+                  {{"request", std::string_view(this->id)},
+                   {"workspace", std::string_view(this->workspace)},
+                   {"attempt", std::int64_t{ended.id.attempt}}});
+        this->may_have_run = this->may_have_run || failed.run != run_state::not_run;
+    }
+
     /// Retries a failed attempt, unless the maximum of attempts, the deadline or the
     /// retry budget is reached; then the request ends with the attempt's error. A retry
     /// is safe for a model request, because a new attempt resumes after the delivered
     /// tokens.
-    void try_again(const attempt_failure& failed,
+    void try_again(const model_attempt& ended, const attempt_failure& failed,
                    agent_health agent = agent_health::suspected)
     {
-        this->meter.record_attempt_failed(this->attempt, failed.fault);
-        log_error("attempt failed", failed.fault,
-                  {{"request", std::string_view(this->id)},
-                   {"workspace", std::string_view(this->workspace)},
-                   {"attempt", std::int64_t{this->attempt}}});
-        this->may_have_run = this->may_have_run || failed.run != run_state::not_run;
+        this->current.reset();
+        this->record_failure(ended, failed);
         if (agent == agent_health::suspected)
         {
-            this->exclude(failed.fault);
+            this->exclude(failed.fault.step == "prefill" ? ended.prefill_vm
+                                                         : ended.decode_vm);
         }
         if (this->exchange->disconnected())
         {
             this->settle_reservation();
             return;
         }
-        const bool first_token_late =
-            this->context->time.now() >= this->deadline && this->delivered == 0;
         if (this->attempt >= this->context->settings.limits.max_attempts ||
-            first_token_late || !this->try_take_retry(failed))
+            this->is_first_token_late() || !this->may_try_again(failed))
         {
             this->meter.record_failed(failed.fault.code, this->answer.stream_begun());
             this->end_with_error(to_api_error(failed.fault, this->current_run_state()));
             return;
         }
+        this->record_resumption();
+        this->next_attempt();
+    }
+
+    /// Gives the next attempt of an answer that has begun its own time for its first
+    /// token.
+    void record_resumption()
+    {
         if (this->delivered > 0)
         {
             ++this->context->counters.resumed;
             this->deadline = this->context->time.now() +
                              this->context->settings.limits.first_token_timeout;
         }
-        this->next_attempt();
     }
 
-    /// Takes a retry from the budget. An attempt that was refused for lack of a slot
-    /// caused no work, so its retry needs no budget.
-    [[nodiscard]] bool try_take_retry(const attempt_failure& failed)
+    /// Takes a retry from the budget, except after an attempt that was refused for lack
+    /// of a slot, which caused no work.
+    [[nodiscard]] bool may_try_again(const attempt_failure& failed)
     {
-        ++this->context->counters.retries;
-        const bool needs_no_budget = failed.run == run_state::not_run &&
-                                     failed.fault.code == error_code::exhausted;
-        if (needs_no_budget || this->context->retries->try_take())
+        if (failed.run == run_state::not_run &&
+            failed.fault.code == error_code::exhausted)
         {
+            ++this->context->counters.retries;
             return true;
         }
-        ++this->context->counters.retries_refused;
-        return false;
+        return this->try_take_retry();
     }
 
-    void exclude(const error& fault)
+    [[nodiscard]] bool try_take_retry()
     {
-        this->excluded_vms.push_back(fault.step == "prefill" ? this->prefill_vm
-                                                             : this->decode_vm);
+        ++this->context->counters.retries;
+        const bool is_taken = this->context->retries->try_take();
+        this->context->counters.retries_refused += is_taken ? 0 : 1;
+        return is_taken;
+    }
+
+    void exclude(const std::string& vm)
+    {
+        if (std::find(this->excluded_vms.begin(), this->excluded_vms.end(), vm) ==
+            this->excluded_vms.end())
+        {
+            this->excluded_vms.push_back(vm);
+        }
     }
 
     void end_with_error(const api_error& fault)
     {
+        this->end_attempts();
         this->settle_reservation();
         this->answer.refuse(fault);
     }
@@ -618,15 +801,15 @@
 
     void cancel()
     {
-        http_client::call_id running_call = 0;
+        std::vector<http_client::call_id> running_calls;
         {
-            const std::scoped_lock lock(this->mutex);
+            const std::scoped_lock lock(this->call_mutex);
             this->cancelled = true;
-            running_call = this->call_id;
+            running_calls.swap(this->calls);
         }
-        if (running_call != 0)
+        for (const http_client::call_id call : running_calls)
         {
-            this->context->client->cancel(running_call);
+            this->context->client->cancel(call);
         }
     }
 
@@ -645,26 +828,84 @@
     time_point deadline;        ///< For the first token; extended when an answer resumes.
     double reserved_tokens = 0; ///< Reserved and neither charged nor released yet.
 
-    std::uint32_t attempt = 0; ///< Number of the current attempt; the first is 1.
-    std::string decode_vm;
-    std::string decode_address;
-    std::string prefill_vm;
+    std::uint32_t attempt = 0; ///< Number of the latest attempt; the first is 1.
+    std::shared_ptr<model_attempt> current;
+    /// The attempt before `current`, whose answer may still come.
+    std::shared_ptr<model_attempt> silent;
     std::vector<std::string> excluded_vms; ///< Of failed attempts; not used for retries.
     bool may_have_run = false; ///< Whether a failed attempt may have run at an engine.
 
-    int agent_status = 0;                 ///< HTTP status of the agent's answer.
-    bool answers_another_attempt = false; ///< The answer does not name this attempt.
-    bool last_chunk_passed = false;       ///< The last chunk has been passed on.
-    event_splitter events;
-    std::optional<attempt_failure> failure;
-    bool stream_complete = false;
-    std::uint32_t delivered = 0; ///< Tokens passed on, over all attempts.
+    bool last_chunk_passed = false; ///< The last chunk has been passed on.
+    std::uint32_t delivered = 0;    ///< Tokens passed on, over all attempts.
 
-    std::mutex mutex; ///< Guards the members below.
+    /// Guards what attempts change, because two may run on different client threads.
+    std::mutex event_mutex;
+    /// Guards the members below and the calls of attempts. The exchange may call `cancel`
+    /// while `event_mutex` is held.
+    std::mutex call_mutex;
     bool cancelled = false;
-    http_client::call_id call_id = 0;
+    std::vector<http_client::call_id> calls; ///< That a caller who leaves cancels.
 };
 
+/// Passes what an attempt's call receives to its request.
+class attempt_sink final : public http_sink, public attempt_owner
+{
+  public:
+    attempt_sink(std::shared_ptr<model_request> owner,
+                 std::shared_ptr<model_attempt> relayed)
+        : request(std::move(owner))
+        , attempt(std::move(relayed))
+    {
+    }
+
+    void on_head(int status, const std::vector<http_header>& head) override
+    {
+        this->request->on_head(*this->attempt, status, head);
+    }
+
+    [[nodiscard]] bool on_data(std::string_view data) override
+    {
+        return this->request->on_data(*this->attempt, data);
+    }
+
+    [[nodiscard]] bool on_silence() override
+    {
+        return this->request->on_silence(*this->attempt);
+    }
+
+    void on_done(const result<void>& outcome) override
+    {
+        this->request->on_done(*this->attempt, outcome);
+    }
+
+    void on_attempt_lost() override { this->request->on_attempt_lost(*this->attempt); }
+
+  private:
+    std::shared_ptr<model_request> request;
+    std::shared_ptr<model_attempt> attempt;
+};
+
+void model_request::start_call(http_call call)
+{
+    const auto sink =
+        std::make_shared<attempt_sink>(this->shared_from_this(), this->current);
+    const std::scoped_lock lock(this->call_mutex);
+    if (this->cancelled && this->silent)
+    {
+        return; // The end of the silent attempt's call ends the request.
+    }
+    if (this->cancelled)
+    {
+        this->current.reset();
+        this->meter.record_cancelled(this->answer.stream_begun());
+        this->settle_reservation();
+        return;
+    }
+    this->context->attempts.add(this->current->decode_address, this->current->id, sink);
+    this->current->call = this->context->client->start(std::move(call), sink);
+    this->calls.push_back(this->current->call);
+}
+
 } // namespace
 
 void start_model_request(entry_context& context, std::shared_ptr<http_exchange> exchange)
--- a/src/net/curl_call.hpp
+++ b/src/net/curl_call.hpp
@@ -27,7 +27,7 @@
     bool is_in_head = false; ///< Between a status line and the end of its head.
     std::size_t head_bytes = 0;
     const char* rejection = nullptr; ///< Why the answer was rejected, if it was.
-    /// When the last byte came, or the call began.
+    /// When the last byte came, the call began or its sink was asked about its silence.
     std::chrono::steady_clock::time_point last_activity;
 
     curl_call() = default;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -107,8 +107,8 @@
         }
     }
 
-    /// Ends calls that received no byte for too long. libcurl's own limit averages over
-    /// seconds, so it acts seconds too late.
+    /// Ends calls that received no byte for too long, unless their sinks wait on.
+    /// libcurl's own limit averages over seconds, so it acts seconds too late.
     void end_idle()
     {
         const auto now = steady_clock::now();
@@ -128,7 +128,13 @@
         }
         for (const http_client::call_id id : idle)
         {
-            const http_call& call = this->active.find(id)->second->call;
+            curl_call& state = *this->active.find(id)->second;
+            const http_call& call = state.call;
+            if (state.sink->on_silence())
+            {
+                state.last_activity = now;
+                continue;
+            }
             this->end(id, fail(error_code::timeout, call.step, call.url,
                                "the connection is silent"));
         }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -25,7 +25,9 @@
     std::string body;
     std::chrono::milliseconds connect_timeout{1'000};
     std::chrono::milliseconds total_timeout{0}; ///< 0 sets no limit.
-    std::chrono::milliseconds idle_timeout{0};  ///< Time without a byte; 0 sets no limit.
+    /// Time without a byte after which the sink decides whether the call goes on; 0 sets
+    /// no limit.
+    std::chrono::milliseconds idle_timeout{0};
     bool fresh_connection = false; ///< Uses no pooled connection: libcurl repeats a
                                    ///< request when a pooled connection is dead.
     /// Of an answer that is collected: `fetch` fails as `broken` for a larger one.
@@ -46,6 +48,10 @@
     /// \returns false to end the call as cancelled.
     [[nodiscard]] virtual bool on_data(std::string_view data) = 0;
 
+    /// \brief Tells whether the call goes on though no byte has come for its
+    /// `idle_timeout`. It is asked again after each further such time.
+    [[nodiscard]] virtual bool on_silence() { return false; }
+
     /// \brief Receives the outcome, which is a success only if the answer arrived
     /// completely. Called once, after all other functions.
     virtual void on_done(const result<void>& outcome) = 0;
