Ask for another server only while the request may be sent, and at intervals

Callers of one entry got nothing at all: with a slow answer open, a block of its request came into force; another server was reserved, not asked because of the block, and the reservation taken again, without a wait, so that the event loop stood still. Also, a server's failure was replaced by 502 or 504 if the slow answer that was awaited after it never came, and servers were recorded as crashed by requests that the entry itself ended at a stop.

Change: a repeat is reserved only while the request isn't blocked, has time and a caller; after an attempt that brought nothing the next repeat waits for the poll interval. A failure that a server has answered is kept for a caller who gets nothing better. Ends after the deadline, which a stop sets to now, aren't recorded as crashes.

--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -176,6 +176,10 @@
             if (outcome.end != attempt_outcome::answered && is_other_running)
             {
                 this->count(outcome, has_server);
+                if (outcome.end == attempt_outcome::failed)
+                {
+                    this->failed_answer = std::move(outcome);
+                }
                 this->await_running_attempt();
                 continue;
             }
@@ -184,7 +188,11 @@
             if (next != retry_decision::try_another)
             {
                 this->end_other_attempts();
-                co_await this->finish(next, std::move(outcome));
+                const bool is_failed_answer_all =
+                    next != retry_decision::relay && this->failed_answer;
+                co_await this->finish(
+                    is_failed_answer_all ? retry_decision::relay : next,
+                    std::move(is_failed_answer_all ? *this->failed_answer : outcome));
                 co_return;
             }
         }
@@ -348,6 +356,9 @@
     [[nodiscard]] bool reserve_repeat()
     {
         this->has_reserved_repeat =
+            !this->scope->exchange->disconnected() &&
+            this->scope->part_block_in_force() == nullptr &&
+            time_left(*this->scope) >= min_attempt_time &&
             this->scope->possible_runs + 1 < this->scope->route->max_attempts &&
             this->refusals <= max_refusals && this->has_other_server() &&
             this->take_repeat();
@@ -456,6 +467,10 @@
         {
             this->current = std::move(this->slow);
         }
+        if (this->current->repeat_at)
+        {
+            this->current->repeat_at = boot_now() + repeat_poll_interval;
+        }
         this->scope->server = this->current->server->id;
         this->set_disconnect_action();
     }
@@ -507,7 +522,7 @@
         {
             this->state->quarantine.record_answer(this->scope->parts.keys, boot_now());
         }
-        else if (outcome.is_broken && !this->scope->exchange->disconnected())
+        else if (outcome.is_broken && !this->scope->is_ended_here(boot_now()))
         {
             this->scope->record_crash(server, outcome.head.status == 0);
         }
@@ -695,6 +710,8 @@
     /// The attempt before `current`, whose answer may still come.
     std::shared_ptr<running_attempt> slow;
     std::shared_ptr<wake_signal> attempt_ended;
+    /// A server's answer that reports its failure, for a caller who gets no other one.
+    std::optional<attempt_result> failed_answer;
 };
 
 } // namespace
--- a/src/gateway/request_scope.hpp
+++ b/src/gateway/request_scope.hpp
@@ -87,6 +87,13 @@
     /// that may have run goes on until the process ends.
     [[nodiscard]] bool may_not_start(time_point now) const;
 
+    /// \brief Tells whether the request is ended here, so that what becomes of its
+    /// connections isn't its servers' doing.
+    [[nodiscard]] bool is_ended_here(time_point now) const
+    {
+        return this->exchange->disconnected() || now >= this->deadline;
+    }
+
     /// \brief Records that a server ended the connection while it had the request.
     /// \param without_event whether nothing of the answer had arrived.
     void record_crash(const backend_server& server, bool without_event) const;
@@ -105,6 +112,8 @@
     [[nodiscard]] bool reserve_repeat();
     /// \brief Returns a reserved repeat that turned out not to be needed.
     void return_unused_repeat();
+    /// \brief Returns all repeats that were taken for arrivals that haven't been sent.
+    void return_spare_repeats();
 
     /// \brief Returns the charged tokens to the allowance when the request did not run.
     void refund_charged_tokens();
--- a/tests/site/slow_answer_test.py
+++ b/tests/site/slow_answer_test.py
@@ -4,13 +4,14 @@
 import os
 import socket
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import run  # noqa: E402
 from path_test import check, start_site  # noqa: E402
 from platform_site import reset_connection, response_bytes, wait_for  # noqa: E402
-from silent_stream_test import FLEET, MAX_LEAVING_S, Streams  # noqa: E402
+from silent_stream_test import FLEET, MANY_REPEATS, MAX_LEAVING_S, Streams  # noqa: E402
 
 SLOW_S = 0.4  # From what the second server does to the first one's answer.
 
@@ -150,5 +151,52 @@
               answers.first_left_at - left_at, answers.second_left_at - left_at)
 
 
+def test_a_servers_failure_is_relayed_when_the_slow_answer_is_lost(build, directory):
+    async def fail_and_break(answers, replica, request, reader, writer):
+        asyncio.get_running_loop().call_later(SLOW_S, answers.break_first)
+        writer.write(response_bytes(500, b"failed", replica.identity_headers(request)))
+        return True
+    site, answers = start_answers(build, directory, fail_and_break)
+    answers.break_first = lambda: [reset_connection(writer) for replica in site.replicas_of("plain")
+                                   for writer in list(replica.open_connections)]
+    with site:
+        response = site.get("/safe/a")
+        check(response.status == 500 and response.body == b"failed", response.status, response.body)
+
+
+def test_a_block_during_a_slow_answer_does_not_stop_the_entry(build, directory):
+    """Guards against a slow answer that asks for another server without end while its request is
+    blocked, so that the entry serves nothing else."""
+    site = start_site(build, directory, fleet=MANY_REPEATS)
+    for _ in range(6):
+        site.add_replica("plain")
+    has_arrived, answers = threading.Event(), []
+
+    async def crash_others(replica, request, _reader, writer):
+        if request.target != "/safe/a":
+            return None
+        if request.id != "slow":
+            reset_connection(writer)
+            return False
+        has_arrived.set()
+        await asyncio.sleep(2)
+        writer.write(response_bytes(200, b"slow answer", replica.identity_headers(request)))
+        return True
+    with site:
+        time.sleep(1.2)  # Until the servers are listed and a block may begin.
+        for replica in site.replicas_of("plain"):
+            replica.handler = crash_others
+        caller = threading.Thread(target=lambda: answers.append(
+            site.get("/safe/a", Agateseam_Request_Id="slow")))
+        caller.start()
+        check(has_arrived.wait(2), "the slow request to arrive")
+        for _ in range(2):
+            site.get("/safe/a")
+        time.sleep(1)  # The slow request may be repeated after 0.3 s.
+        check(site.get("/open/b").status == 200)
+        caller.join(5)
+        check(answers and answers[0].status == 200, answers)
+
+
 if __name__ == "__main__":
     sys.exit(run.main(globals()))
