Follow a silent server's events, not its bytes, while another one is asked

Callers saw a stream end as complete behind event 2 of 6, or cut there though the other server would have brought the rest: the reset of a connection without a stated length was taken from the socket by a look at it, after which its end looked clean; and any byte of the silent server, also half an event before a reset, ended the other server's attempt. A silent stream waited four gap targets anew after a refusal; events that came while the prompt was prefilled for the other server waited for that call; and a repeat that wasn't sent never returned.

Change: what arrives from the silent server is read, without a wait, and kept; only a whole event or the whole stream ends the other attempt, and its call, prefills included. A break, or an end within an event, leaves that server. A server that is listed as restarted is left at once, because its rest can't come. After a refusal another server is looked for at the poll interval. Repeats that weren't sent return then and at the request's end.

--- a/include/agateseam/request_arrivals.hpp
+++ b/include/agateseam/request_arrivals.hpp
@@ -43,6 +43,17 @@
         return is_unused;
     }
 
+    /// \brief Gives back a repeat that none of what was sent has used. Nothing that was
+    /// taken for a further arrival may be about to be sent.
+    /// \returns whether there was one.
+    [[nodiscard]] bool remove_spare_repeat() noexcept
+    {
+        const std::uint32_t used = this->counted > 0 ? this->counted - 1 : 0;
+        const bool is_spare = this->repeats > used;
+        this->repeats -= is_spare ? 1 : 0;
+        return is_spare;
+    }
+
     /// \brief Records a request that was sent to be run, whatever became of it.
     void record_run() noexcept { ++this->counted; }
 
--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -61,6 +61,14 @@
     std::shared_ptr<upstream_connection> link;
     sse_event_splitter events; ///< With the beginning of its next event.
     std::optional<time_point> first_event_at;
+    std::string arrived_events; ///< That its caller hasn't got.
+
+    /// Tells whether all of the stream has arrived.
+    [[nodiscard]] bool is_whole() const
+    {
+        return this->link->done() && this->events.is_at_event_boundary() &&
+               (this->first_event_at || this->link->has_stated_end());
+    }
 };
 
 class model_call
@@ -80,6 +88,13 @@
     }
 
     task<void> run()
+    {
+        co_await this->make_attempts();
+        this->scope->return_spare_repeats();
+    }
+
+  private:
+    task<void> make_attempts()
     {
         if (this->last_event_number)
         {
@@ -132,7 +147,6 @@
         co_await this->finish(this->report_without_attempt());
     }
 
-  private:
     [[nodiscard]] bool is_caller_gone() const
     {
         return this->scope->exchange->disconnected();
@@ -225,14 +239,18 @@
                this->place_search.has_server_of_version();
     }
 
-    /// Notes that a server is listed as another start of it, so that the version of its
-    /// events isn't known.
-    void check_restart(const backend_server& server)
+    /// Tells whether a server is listed as another start of it.
+    [[nodiscard]] bool has_restarted(const backend_server& server) const
     {
         const auto listed = this->state->server(this->scope->service, server.id);
-        this->is_version_unknown |=
-            this->version && listed &&
-            (listed->version != server.version || listed->born_ms != server.born_ms);
+        return listed &&
+               (listed->version != server.version || listed->born_ms != server.born_ms);
+    }
+
+    /// Notes that the version of a server's events isn't known if it has restarted.
+    void check_restart(const backend_server& server)
+    {
+        this->is_version_unknown |= this->version && this->has_restarted(server);
     }
 
     /// Reserves decode memory, has the prompt prefilled and relays the stream.
@@ -443,7 +461,8 @@
     /// Records that a server ended the connection before the answer had begun.
     void record_broken_connection(const backend_server& server)
     {
-        if (this->is_superseded() || this->has_begun())
+        if (this->has_silence_ended || this->scope->is_ended_here(boot_now()) ||
+            this->has_begun())
         {
             return;
         }
@@ -571,6 +590,7 @@
                 co_return stream_end::broken;
             }
             const std::string complete_events =
+                std::exchange(this->arrived_events, "") +
                 this->events.extract_complete_events(link.take_body());
             if (!complete_events.empty())
             {
@@ -649,6 +669,7 @@
         if (has_events)
         {
             const time_point now = boot_now();
+            this->is_still_silent = false;
             if (this->last_event_at != time_point{})
             {
                 this->scope->longest_gap =
@@ -680,12 +701,17 @@
         const service_route& route = *this->scope->route;
         duration wait = route.gap_target * max_gap_target_factor;
         const bool may_be_resumed = route.resumable && wait > duration::zero();
+        wait = this->is_still_silent ? duration(silence_poll_interval) : wait;
         while (may_be_resumed &&
                !co_await link.wait_for_input(
                    std::min(this->scope->deadline, boot_now() + wait)) &&
                boot_now() < this->scope->deadline)
         {
-            if (co_await this->reserve_replacement(place))
+            if (this->has_restarted(place.chosen_server()))
+            {
+                link.close(); // The rest can't come from its new start.
+            }
+            else if (co_await this->reserve_replacement(place, link))
             {
                 co_return io_outcome::good;
             }
@@ -695,9 +721,8 @@
     }
 
     /// Reserves a place for the rest of a silent stream, and takes a repeat for it.
-    task<bool> reserve_replacement(const decode_place& place)
+    task<bool> reserve_replacement(const decode_place& place, upstream_connection& link)
     {
-        this->check_restart(place.chosen_server());
         if (this->silent || this->starts >= max_start_attempts ||
             this->scope->possible_runs + 1 >= this->scope->route->max_attempts ||
             this->scope->part_block_in_force() != nullptr || !this->may_go_on() ||
@@ -710,7 +735,8 @@
         {
             co_return false;
         }
-        if (this->is_caller_gone() || !this->scope->may_arrive())
+        if (this->is_caller_gone() || link.has_unread_bytes() ||
+            !this->scope->may_arrive())
         {
             this->place_search.release(*reserved);
             co_return false;
@@ -727,8 +753,8 @@
     {
         record_observation(*this->state, place->chosen_server().id,
                            server_observation::unreachable, 0ms);
-        this->silent.emplace(silent_stream{std::move(place), std::move(link),
-                                           this->events, this->attempt_event_at});
+        this->silent.emplace(silent_stream{
+            std::move(place), std::move(link), this->events, this->attempt_event_at, {}});
         ++this->scope->possible_runs;
         this->events.resume();
         this->accepted_at.reset();
@@ -751,27 +777,22 @@
         {
             return;
         }
-        upstream_connection& link = *this->silent->link;
         if (this->is_caller_gone())
         {
-            link.abandon();
+            this->silent->link->abandon();
             return;
         }
-        const unread_input input = link.peek();
-        // The end of the connection may also be that of the answer.
-        if (input == unread_input::bytes ||
-            (input == unread_input::end && !link.has_stated_end()))
+        const bool is_open = this->read_silent_server();
+        if (!this->silent->arrived_events.empty() || this->silent->is_whole())
         {
             this->has_silence_ended = true;
-            if (this->attempt_link)
-            {
-                this->attempt_link->close();
-            }
+            this->prefiller.cancel();
+            this->scope->exchange->interrupt();
             return;
         }
         const bool is_taken_over =
             this->accepted_at && boot_now() - *this->accepted_at >= max_server_overlap;
-        if (input == unread_input::end || is_taken_over)
+        if (!is_open || is_taken_over)
         {
             this->leave_silent_server();
             return;
@@ -779,6 +800,29 @@
         this->watch_silent_server();
     }
 
+    /// Reads what has arrived from the silent server.
+    /// \returns whether more may arrive.
+    bool read_silent_server()
+    {
+        silent_stream& kept = *this->silent;
+        while (!kept.link->done())
+        {
+            const auto end = kept.link->read_arrived();
+            if (!end || *end != io_outcome::good)
+            {
+                return !end;
+            }
+            kept.arrived_events +=
+                kept.events.extract_complete_events(kept.link->take_body());
+            kept.link->set_kept_by_reader(kept.events.partial_size());
+            if (kept.events.partial_size() > max_event_bytes)
+            {
+                return false;
+            }
+        }
+        return false;
+    }
+
     void leave_silent_server()
     {
         if (!this->silent)
@@ -797,7 +841,7 @@
         this->silence_timer.disarm();
         this->log_replacement("replacement ended");
         this->release_kv_cache(std::exchange(this->unused_kv_source, ""));
-        this->scope->return_unused_repeat();
+        this->scope->return_spare_repeats();
         silent_stream kept = std::move(*this->silent);
         this->silent.reset();
         this->attempt_link.reset();
@@ -810,7 +854,9 @@
         }
         --this->scope->possible_runs;
         this->events = std::move(kept.events);
+        this->arrived_events = std::move(kept.arrived_events);
         this->attempt_event_at = kept.first_event_at;
+        this->is_still_silent = true;
         this->scope->server = kept.place->chosen_server().id;
         this->scope->exchange->on_disconnect([link] { link->abandon(); });
         co_return co_await this->relay_stream(std::move(kept.place), *link, link->head());
@@ -825,6 +871,10 @@
                   {"server", this->silent->place->chosen_server().id},
                   {"replacement",
                    was_sent ? std::string_view(this->scope->server) : std::string_view{}},
+                  {"sent_ms", was_sent ? whole_milliseconds(boot_now() -
+                                                            this->attempt_link->sent_at())
+                                       : std::int64_t{0}},
+                  {"accepted", this->accepted_at.has_value()},
                   {"went_on", this->has_silence_ended},
                   {"last_event", this->last_event_number.value_or(0)}});
     }
@@ -962,6 +1012,8 @@
     std::shared_ptr<upstream_connection> attempt_link; ///< Of the latest request sent.
     std::optional<time_point> accepted_at; ///< By the server of `attempt_link`.
     bool has_silence_ended = false;        ///< The silent server goes on.
+    bool is_still_silent = false; ///< It was gone back to and has sent nothing since.
+    std::string arrived_events;   ///< Read while another server was asked to go on.
     deadline_timer silence_timer;
     std::uint32_t refusals = 0;
     /// "IP:port/handle" of the prefilled prompt of a withheld attempt; may be empty.
--- a/src/gateway/prompt_prefiller.cpp
+++ b/src/gateway/prompt_prefiller.cpp
@@ -28,9 +28,10 @@
                                         std::optional<name_key> version)
 {
     std::vector<std::string> tried;
+    this->is_cancelled = false;
     for (std::uint32_t attempt = 0;
-         attempt < max_servers_tried && !this->scope->exchange->disconnected() &&
-         boot_now() < this->scope->deadline;
+         attempt < max_servers_tried && !this->is_cancelled &&
+         !this->scope->exchange->disconnected() && boot_now() < this->scope->deadline;
          ++attempt)
     {
         const auto candidate = this->choose(tried, version);
@@ -107,7 +108,7 @@
         this->scope->arrivals.record_prefill(is_accepted);
     }
     this->scope->return_unused_repeat();
-    if (this->scope->exchange->disconnected())
+    if (this->scope->exchange->disconnected() || (this->is_cancelled && !is_accepted))
     {
         co_return "";
     }
--- a/src/gateway/prompt_prefiller.hpp
+++ b/src/gateway/prompt_prefiller.hpp
@@ -24,6 +24,10 @@
     task<std::string> run(std::optional<std::int64_t> last_event_number,
                           std::optional<name_key> version);
 
+    /// \brief Lets `run` end without a result, because the prompt isn't needed any more.
+    /// The call in progress has to be ended by the caller.
+    void cancel() noexcept { this->is_cancelled = true; }
+
     /// \brief Returns the server that holds the prompt's KV cache, or null.
     [[nodiscard]] std::shared_ptr<const backend_server> kv_server() const
     {
@@ -43,6 +47,7 @@
     entry_state* state;
     engine_service* engines;
     std::shared_ptr<const backend_server> server;
+    bool is_cancelled = false;
 };
 
 } // namespace agateseam
--- a/src/gateway/request_scope.cpp
+++ b/src/gateway/request_scope.cpp
@@ -172,6 +172,14 @@
     }
 }
 
+void request_scope::return_spare_repeats()
+{
+    while (this->arrivals.remove_spare_repeat())
+    {
+        this->state->ledger.return_repeat(this->service, boot_now());
+    }
+}
+
 void request_scope::refund_charged_tokens()
 {
     if (this->workspace != nullptr && this->charged_tokens > 0)
--- a/src/transport/upstream_connection.cpp
+++ b/src/transport/upstream_connection.cpp
@@ -213,13 +213,18 @@
                       });
 }
 
+io_outcome upstream_connection::closed_outcome() const noexcept
+{
+    return this->is_released ? io_outcome::garbled
+           : this->timed_out ? io_outcome::timed_out
+                             : io_outcome::broken;
+}
+
 task<io_outcome> upstream_connection::read_more(time_point deadline)
 {
     if (this->closed)
     {
-        co_return this->is_released ? io_outcome::garbled
-        : this->timed_out           ? io_outcome::timed_out
-                                    : io_outcome::broken;
+        co_return this->closed_outcome();
     }
     const duration remaining = deadline - boot_now();
     if (remaining <= duration::zero())
@@ -251,13 +256,15 @@
         }
     }
     this->read_timer.disarm();
-    if (this->is_released)
-    {
-        co_return io_outcome::garbled;
-    }
-    if (this->timed_out)
+    co_return this->take_received({bytes.data(), count}, fault);
+}
+
+io_outcome upstream_connection::take_received(std::string_view bytes,
+                                              const io_error& fault)
+{
+    if (this->is_released || this->timed_out)
     {
-        co_return io_outcome::timed_out;
+        return this->closed_outcome();
     }
     if (fault == asio::error::eof && this->parser && this->parser->is_header_done() &&
         this->parser->need_eof() && this->is_request_received())
@@ -265,16 +272,16 @@
         boost::beast::error_code end_error;
         this->parser->put_eof(end_error);
         this->closed = true;
-        co_return end_error ? io_outcome::broken : io_outcome::good;
+        return end_error ? io_outcome::broken : io_outcome::good;
     }
-    if (fault || count == 0)
+    if (fault || bytes.empty())
     {
         this->close();
-        co_return io_outcome::broken;
+        return io_outcome::broken;
     }
-    this->input.append(bytes.data(), count);
-    this->bytes_received += count;
-    co_return io_outcome::good;
+    this->input.append(bytes);
+    this->bytes_received += bytes.size();
+    return io_outcome::good;
 }
 
 /// Tells whether the server's host has received the whole request.
@@ -398,24 +405,60 @@
             co_return end;
         }
     }
+    co_return this->parse_body();
+}
+
+std::optional<io_outcome> upstream_connection::read_arrived()
+{
+    if (!this->has_parsable_input())
+    {
+        if (this->closed)
+        {
+            return this->closed_outcome();
+        }
+        io_error fault;
+        const auto bytes = shared_read_buffer();
+        const std::size_t count =
+            this->socket.read_some(asio::buffer(bytes.data(), bytes.size()), fault);
+        if (fault == asio::error::would_block || fault == asio::error::try_again)
+        {
+            return std::nullopt;
+        }
+        const io_outcome end = this->take_received({bytes.data(), count}, fault);
+        if (end != io_outcome::good)
+        {
+            return end;
+        }
+    }
+    return this->parse_body();
+}
+
+bool upstream_connection::has_unread_bytes()
+{
+    io_error ignored; // Then there are none.
+    return this->has_parsable_input() || this->socket.available(ignored) > 0;
+}
+
+io_outcome upstream_connection::parse_body()
+{
     boost::beast::error_code fault;
     if (!this->input.empty() && !parse_some(*this->parser, this->input, fault))
     {
-        co_return this->close_garbled();
+        return this->close_garbled();
     }
     if (this->input.size() > max_unparsed_bytes && !this->parser->is_done())
     {
-        co_return this->close_garbled();
+        return this->close_garbled();
     }
     this->update_held_resources();
     if (this->is_released)
     {
-        co_return io_outcome::garbled;
+        return io_outcome::garbled;
     }
     // The end of a chunk is parsed together with the next one's header, which may come
     // much later than the chunk's bytes.
     this->incomplete_bytes = this->parser->is_done() ? 0 : this->input.size();
-    co_return io_outcome::good;
+    return io_outcome::good;
 }
 
 task<io_outcome> upstream_connection::read_whole(time_point deadline,
@@ -480,25 +523,17 @@
            this->parser->keep_alive();
 }
 
-unread_input upstream_connection::peek()
+bool upstream_connection::alive()
 {
     if (this->closed)
     {
-        return unread_input::end;
-    }
-    if (this->has_parsable_input())
-    {
-        return unread_input::bytes;
+        return false;
     }
     char byte = 0;
     const auto count =
         ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count > 0)
-    {
-        return unread_input::bytes;
-    }
-    const bool is_open = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    return is_open ? unread_input::none : unread_input::end;
+    // Unexpected bytes, a close by the server and an error all make it unusable.
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void upstream_connection::close()
--- a/src/transport/upstream_connection.hpp
+++ b/src/transport/upstream_connection.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -34,14 +35,6 @@
     unknown ///< May be either of them.
 };
 
-/// What has arrived on a connection and isn't read yet.
-enum class unread_input : std::uint8_t
-{
-    none,
-    bytes,
-    end ///< The connection is closed, by either side, or broken.
-};
-
 /// \brief Returns the name of an outcome for logs.
 [[nodiscard]] std::string_view to_string(io_outcome end) noexcept;
 
@@ -81,6 +74,13 @@
     /// complete.
     task<io_outcome> read_body(time_point deadline);
 
+    /// \brief Reads what has arrived of the body, without a wait.
+    /// \returns nothing if nothing has arrived.
+    [[nodiscard]] std::optional<io_outcome> read_arrived();
+
+    /// \brief Tells whether bytes have arrived that aren't read yet.
+    [[nodiscard]] bool has_unread_bytes();
+
     /// \brief Reads the body to its end. A body of more than `max_bytes` is an error.
     task<io_outcome> read_whole(time_point deadline, std::size_t max_bytes);
 
@@ -116,11 +116,8 @@
         return now - this->idle_since >= this->idle_timeout;
     }
 
-    /// \brief Returns what the next read finds, without a wait.
-    [[nodiscard]] unread_input peek();
-
     /// \brief Tells whether an idle connection is open and has no unexpected bytes.
-    [[nodiscard]] bool alive() { return this->peek() == unread_input::none; }
+    [[nodiscard]] bool alive();
 
     /// \brief Closes the connection. A pending read ends as `broken`.
     void close();
@@ -155,6 +152,10 @@
 
   private:
     task<io_outcome> read_more(time_point deadline);
+    /// Returns how a read of a connection that was closed here ends.
+    [[nodiscard]] io_outcome closed_outcome() const noexcept;
+    io_outcome take_received(std::string_view bytes, const io_error& fault);
+    io_outcome parse_body();
     [[nodiscard]] bool is_request_received();
     [[nodiscard]] bool has_parsable_input() const noexcept
     {
