--- a/src/gateway/model_call.cpp
+++ b/src/gateway/model_call.cpp
@@ -8,7 +8,7 @@
 #include <gateway/place_finder.hpp>
 #include <gateway/prompt_prefiller.hpp>
 #include <gateway/server_replies.hpp>
-#include <gateway/sse_event_splitter.hpp>
+#include <gateway/silent_stream.hpp>
 
 namespace agateseam
 {
@@ -38,8 +38,6 @@
 /// Shortest Retry-After time of a refused request.
 constexpr auto min_retry_after = 1'000ms;
 
-/// Largest event of a stream; bytes without an event's end are no answer.
-constexpr std::size_t max_event_bytes = 1 << 20;
 /// An answer that has gone on for this long since its first event has begun.
 constexpr auto min_begun_answer_time = 250ms;
 
@@ -53,24 +51,6 @@
     timed_out ///< The request's deadline passed.
 };
 
-/// A stream whose server is silent. It may go on until another server has gone on with
-/// it.
-struct silent_stream
-{
-    std::unique_ptr<decode_place> place;
-    std::shared_ptr<upstream_connection> link;
-    sse_event_splitter events; ///< With the beginning of its next event.
-    std::optional<time_point> first_event_at;
-    std::string arrived_events; ///< That its caller hasn't got.
-
-    /// Tells whether all of the stream has arrived.
-    [[nodiscard]] bool is_whole() const
-    {
-        return this->link->done() && this->events.is_at_event_boundary() &&
-               (this->first_event_at || this->link->has_stated_end());
-    }
-};
-
 class model_call
 {
   public:
@@ -782,8 +762,8 @@
             this->silent->link->abandon();
             return;
         }
-        const bool is_open = this->read_silent_server();
-        if (!this->silent->arrived_events.empty() || this->silent->is_whole())
+        const bool is_open = this->silent->read();
+        if (this->silent->has_gone_on())
         {
             this->has_silence_ended = true;
             this->prefiller.cancel();
@@ -800,29 +780,6 @@
         this->watch_silent_server();
     }
 
-    /// Reads what has arrived from the silent server.
-    /// \returns whether more may arrive.
-    bool read_silent_server()
-    {
-        silent_stream& kept = *this->silent;
-        while (!kept.link->done())
-        {
-            const auto end = kept.link->read_arrived();
-            if (!end || *end != io_outcome::good)
-            {
-                return !end;
-            }
-            kept.arrived_events +=
-                kept.events.extract_complete_events(kept.link->take_body());
-            kept.link->set_kept_by_reader(kept.events.partial_size());
-            if (kept.events.partial_size() > max_event_bytes)
-            {
-                return false;
-            }
-        }
-        return false;
-    }
-
     void leave_silent_server()
     {
         if (!this->silent)
