Take the answer that was awaited, whatever became of the search before it

Found by reading. After a search for another server that found none, the slow answer that then came would have been treated as no answer, and its caller refused; and a server that was not asked because the slow answer had come was recorded as unreachable. No test reaches it; slow_answer_test 9 of 9 and silent_stream_test 13 of 13 pass.

--- a/src/gateway/plain_call.cpp
+++ b/src/gateway/plain_call.cpp
@@ -161,6 +161,7 @@
                     continue;
                 }
                 outcome = std::move(*ended);
+                has_server = true;
             }
             if (this->scope->exchange->disconnected())
             {
@@ -393,13 +394,23 @@
             co_return outcome;
         }
         this->tried.push_back(server->id);
-        if (!this->current)
+        if (!this->current && this->has_slow_answer())
+        {
+            this->state->health.withdraw(server->id);
+        }
+        else if (!this->current)
         {
             this->record_outcome(*server, started_at, outcome);
         }
         co_return outcome;
     }
 
+    [[nodiscard]] bool has_slow_answer() const
+    {
+        return this->slow && this->slow->is_done &&
+               this->slow->outcome.end == attempt_outcome::answered;
+    }
+
     void record_outcome(const backend_server& server, time_point started_at,
                         const attempt_result& outcome)
     {
@@ -542,9 +553,7 @@
             co_return outcome;
         }
         caller_exchange& exchange = *this->scope->exchange;
-        const bool is_answered = this->slow && this->slow->is_done &&
-                                 this->slow->outcome.end == attempt_outcome::answered;
-        if (exchange.disconnected() || is_answered)
+        if (exchange.disconnected() || this->has_slow_answer())
         {
             this->state->pool.return_connection(link);
             outcome.is_given_up = true;
