--- a/tests/process/silent_attempt_test.py
+++ b/tests/process/silent_attempt_test.py
@@ -19,6 +19,7 @@
 from usage_test import await_stable_usage  # noqa: E402
 
 STEP_MS = 100
+REQUEST_MS = 5_000  # In which a request must have ended, where this is set.
 SILENCE_MS = 1_000
 PAUSE_S = 2.2  # Longer than it takes to notice a silence, shorter than a lease lasts.
 MAX_REPLACEMENT_S = 3  # From the beginning of a silence to the next token.
@@ -47,7 +48,8 @@
 
 
 class HoldingRelay:
-    """Relays connections to a port; can keep back the bytes of the open ones and release them."""
+    """Relays connections to a port; can keep back the bytes of the open ones and release them.
+    It can do so once: connections that have been released are not held again."""
 
     def __init__(self, port):
         self.target_port = port
@@ -395,6 +397,17 @@
         fleet.await_nothing_held()
 
 
+def test_a_lasting_silence_without_a_replacement_ends(build, case, silence):
+    """Guards against streams that hang for good, and against slots that they hold."""
+    with SilentFleet(build, case, attempts=1, request_ms=REQUEST_MS) as fleet:
+        stream, name, _ = fleet.start_stream()
+        silence(fleet, name)
+        stream.thread.join(REQUEST_MS / 1000 + MAX_OVERLAP_S)
+        check(not stream.thread.is_alive(), "the stream hangs")
+        check(not stream.done and stream.error, stream.done, stream.error)
+        fleet.await_nothing_held()
+
+
 def test_a_replacement_at_the_same_agent_gets_the_only_slot(build, case):
     """Guards against a replacement that waits for the slot of the attempt that it replaces."""
     with SilentFleet(build, case, backend={"slots": 1}) as fleet:
